Send what one step sends to one endpoint as one batch call

The module counts one slot and one call for what it sends in one step to one endpoint where the kind takes batches; the network code made a call of each message. Answers to batches are read message by message; one that can't be read proves nothing. A wait told with one binds though the message passed.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -437,6 +437,9 @@
 	lone := worn || (e.Outcome == TooSlow || e.Outcome == Undone) && s.lost(c)
 	s.report(c.ep.route, e.Report)
 	s.judge(c, e, lone)
+	if e.Wait > 0 { // the answer to a batch may tell one whatever became of this message
+		c.ep.route.waitUntil = max(c.ep.route.waitUntil, s.now+e.Wait)
+	}
 	s.inherit(c.ep)
 	m.out--
 	ran := e.Outcome == Fault || e.Outcome == TooSlow || e.Outcome == Cut || e.Outcome == Undone
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -581,3 +581,21 @@
 		t.Error("three refusals where there is no limit are no outage")
 	}
 }
+
+// The answer to a batch may tell a wait though this message of it was delivered. It binds all the same.
+func TestWaitToldWithADeliveryBinds(t *testing.T) {
+	w := newStory(t, settings(), 1)
+	w.step(0, one())
+	w.step(5*ms, w.arrive("a", 0, 0))
+	w.step(5*ms, w.outcome("a", Pass, time.Second))
+	w.quiet(200 * ms)
+	sent := len(w.sends)
+	w.step(5*ms, w.arrive("b", 0, 0))
+	if w.quiet(700 * ms); len(w.sends) != sent {
+		t.Error("a call went out before the end of the wait")
+	}
+	if w.quiet(300 * ms); len(w.sends) != sent+1 {
+		t.Errorf("%d calls after the wait", len(w.sends)-sent)
+	}
+	w.finish()
+}
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"bytes"
 	"context"
+	"encoding/base64"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -36,18 +38,36 @@
 	mostLimit     = 1e6 // and of a limit
 )
 
-// call is one attempt to be made.
+// item is a message in a call; its form is that of one in a batch.
+type item struct {
+	ID   string `json:"id"`
+	Key  string `json:"key,omitempty"`
+	Body []byte `json:"body"`
+}
+
+// room is what an item takes in the body of a batch at most, where each byte of a word may need an escape.
+func (i item) room() int {
+	return 6*(len(i.ID)+len(i.Key)) + base64.StdEncoding.EncodedLen(len(i.Body)) + 64
+}
+
+// call is one call to be made, with an attempt for each of its messages.
 type call struct {
-	id, key  string
-	body     []byte
+	items    []item
 	endpoint *endpoint
 	notPast  time.Time
 	fresh    bool // not on a kept connection
 }
 
+// fate is how a call ended for one of its messages.
+type fate struct {
+	outcome choice.Outcome
+	closed  bool
+}
+
 // result is how it ended.
 type result struct {
 	outcome choice.Outcome
+	each    []fate // of the items in their order, where a batch's answer tells them apart
 	wait    time.Duration
 	noSlot  bool
 	closed  bool
@@ -86,6 +106,14 @@
 	}
 }
 
+// of is how the call ended for its i-th item.
+func (r result) of(i int) fate {
+	if r.each == nil {
+		return fate{r.outcome, r.closed}
+	}
+	return r.each[i]
+}
+
 // do makes one call. It returns when its slot is free again: at the answer, or with the connection closed.
 func (p *pool) do(ctx context.Context, c call) result {
 	ctx, cancel := context.WithDeadline(ctx, c.notPast)
@@ -114,7 +142,7 @@
 		return result{outcome: choice.Stale}
 	}
 	stop := context.AfterFunc(ctx, func() { k.Close() })
-	res, reuse := k.exchange(ctx, request)
+	res, reuse := k.exchange(ctx, request, c.items)
 	res.kept = kept
 	if stop() && reuse {
 		p.give(c.endpoint, k)
@@ -125,18 +153,30 @@
 }
 
 func encodeRequest(c call) ([]byte, error) {
-	req, err := http.NewRequest(http.MethodPost, "http://"+c.endpoint.addr+"/v1/messages", bytes.NewReader(c.body))
-	if err != nil {
-		return nil, err
-	}
-	req.Header = http.Header{
-		"X-Trace-Id":   {c.id},
+	path, header := "/v1/messages", http.Header{
 		"X-Expires-In": {strconv.FormatInt(max(time.Until(c.notPast).Milliseconds(), 1), 10) + "m"},
 		"User-Agent":   {"coralyard"},
 	}
-	if c.key != "" {
-		req.Header["Idempotency-Key"] = []string{c.key}
+	one := c.items[0]
+	body := one.Body
+	if len(c.items) > 1 {
+		var err error
+		if body, err = json.Marshal(c.items); err != nil {
+			return nil, err
+		}
+		path += ":batch"
+		header["Content-Type"] = []string{"application/json"}
+	} else {
+		header["X-Trace-Id"] = []string{one.ID}
+		if one.Key != "" {
+			header["Idempotency-Key"] = []string{one.Key}
+		}
 	}
+	req, err := http.NewRequest(http.MethodPost, "http://"+c.endpoint.addr+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header = header
 	var b bytes.Buffer
 	if err := req.Write(&b); err != nil {
 		return nil, err
@@ -159,11 +199,11 @@
 }
 
 // exchange writes the request and reads the answer; reuse tells that the connection is good for another call.
-func (k *conn) exchange(ctx context.Context, request []byte) (res result, reuse bool) {
+func (k *conn) exchange(ctx context.Context, request []byte, items []item) (res result, reuse bool) {
 	if n, err := k.Write(request); err != nil && n < len(request) {
 		return result{outcome: choice.NoRoute}, false // without its last byte the endpoint has not begun it
 	}
-	res, reuse, err := k.answer()
+	res, reuse, err := k.answer(items)
 	if err == nil {
 		return res, reuse
 	}
@@ -177,9 +217,9 @@
 }
 
 // answer reads one answer and tells whether the connection may carry another call. A 200 holds from its first
-// line on: the message is delivered, whatever becomes of the rest. Any other answer has to come whole, within
-// bounds of size and time, to prove anything. What stands behind an answer ends the connection, not the answer.
-func (k *conn) answer() (result, bool, error) {
+// line on, if the call had one message: that is delivered, whatever becomes of the rest. Any other answer, also that
+// to a batch, has to come whole, within bounds of size and time, to prove anything. What stands behind an answer ends the connection, not the answer.
+func (k *conn) answer(items []item) (result, bool, error) {
 	for range maxContinues {
 		k.limit.N = maxAnswerHead + maxAnswerBody
 		if _, err := k.br.Peek(1); err != nil {
@@ -193,8 +233,8 @@
 		if err != nil {
 			return result{}, false, fmt.Errorf("answer: %w", err)
 		}
-		res, reuse, err := k.rest()
-		if err != nil && code == http.StatusOK {
+		res, reuse, err := k.rest(items)
+		if err != nil && code == http.StatusOK && len(items) <= 1 {
 			res, err = result{outcome: choice.Pass, closed: true}, nil
 		}
 		if err != nil {
@@ -236,7 +276,7 @@
 }
 
 // rest reads an answer of which the first line is known to be there.
-func (k *conn) rest() (result, bool, error) {
+func (k *conn) rest(items []item) (result, bool, error) {
 	resp, err := http.ReadResponse(k.br, nil)
 	if err != nil {
 		return result{}, false, err
@@ -245,15 +285,55 @@
 	if resp.StatusCode < 200 {
 		return result{}, true, nil
 	}
-	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswerBody+1))
-	if err == nil && n > maxAnswerBody {
-		err = errors.New("the body is too large")
-	}
 	res := outcome(resp)
 	res.hungUp = resp.Close
+	body := io.LimitReader(resp.Body, maxAnswerBody+1)
+	if len(items) > 1 && res.outcome == choice.Pass {
+		res.each, err = fates(body, items)
+		res.wait = retryAfter(resp) // of the items it defers; it binds all the same
+	}
+	if err == nil { // what is left of it
+		_, err = io.Copy(io.Discard, body)
+	}
+	if err == nil && body.(*io.LimitedReader).N == 0 {
+		err = errors.New("the body is too large")
+	}
 	return res, err == nil && !resp.Close && k.br.Buffered() == 0, err
 }
 
+var states = map[string]fate{
+	"accepted": {choice.Pass, true}, "fault": {choice.Fault, false}, "deferred": {choice.NoRoom, false},
+	"expired": {choice.Stale, true}, "no_more": {choice.Stale, false},
+}
+
+// fates reads the answer to a batch. An item that it does not name, or in words that the protocol does not know, may
+// have run; an answer that speaks of one twice can't be read.
+func fates(body io.Reader, items []item) ([]fate, error) {
+	raw, err := io.ReadAll(body)
+	if err != nil {
+		return nil, err
+	}
+	var told []struct{ ID, State string }
+	if err := json.Unmarshal(raw, &told); err != nil {
+		return nil, fmt.Errorf("answer to a batch: %w", err)
+	}
+	state := make(map[string]string, len(told))
+	for _, t := range told {
+		if _, twice := state[t.ID]; twice {
+			return nil, errors.New("answer to a batch: a message is named twice")
+		}
+		state[t.ID] = t.State
+	}
+	each := make([]fate, len(items))
+	for i, item := range items {
+		var ok bool
+		if each[i], ok = states[state[item.ID]]; !ok {
+			each[i] = fate{outcome: choice.Fault}
+		}
+	}
+	return each, nil
+}
+
 // outcome reads the protocol's table of answers.
 func outcome(resp *http.Response) result {
 	res := result{report: loadReport(resp.Header.Values(loadHeader))}
@@ -261,10 +341,7 @@
 	case http.StatusOK:
 		res.outcome, res.closed = choice.Pass, true
 	case http.StatusTooManyRequests:
-		res.outcome = choice.NoRoom
-		if sec, err := decimal(resp.Header.Get("Retry-After"), math.MaxFloat64); err == nil {
-			res.wait = time.Duration(min(sec, longestWait.Seconds()) * float64(time.Second))
-		}
+		res.outcome, res.wait = choice.NoRoom, retryAfter(resp)
 	case http.StatusServiceUnavailable:
 		res.outcome = choice.NoRoom
 		if resp.Header.Get("X-Line-Busy") == "1" {
@@ -280,6 +357,15 @@
 	return res
 }
 
+// retryAfter is the wait that an answer tells, 0 for none.
+func retryAfter(resp *http.Response) time.Duration {
+	sec, err := decimal(resp.Header.Get("Retry-After"), math.MaxFloat64)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(min(sec, longestWait.Seconds()) * float64(time.Second))
+}
+
 // loadReport reads "x0=0.4,x1=25". One that can't be read, be it in part, is none: the module believes a limit.
 func loadReport(values []string) choice.Report {
 	var r choice.Report
--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"reflect"
 	"strconv"
 	"strings"
 	"sync"
@@ -22,6 +23,7 @@
 type partner struct {
 	ln    net.Listener
 	serve func(nc net.Conn, req *http.Request) bool
+	read  func(body []byte) // is told of each request's body, unless nil
 
 	mu    sync.Mutex
 	calls []*http.Request
@@ -61,9 +63,13 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
 			return
 		}
+		if p.read != nil {
+			p.read(body)
+		}
 		p.mu.Lock()
 		p.calls = append(p.calls, req)
 		p.mu.Unlock()
@@ -123,7 +129,7 @@
 }
 
 func testCall(e *endpoint) call {
-	return call{id: "9b1f03aa5c7e2d41", key: "5c0f", body: []byte("body\x00"), endpoint: e, notPast: time.Now().Add(patience)}
+	return call{items: []item{{"9b1f03aa5c7e2d41", "5c0f", []byte("body\x00")}}, endpoint: e, notPast: time.Now().Add(patience)}
 }
 
 func eventually(t *testing.T, what string, ok func() bool) {
@@ -161,7 +167,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			p := newPartner(t, says(c.says))
 			got := testPool().do(t.Context(), testCall(endpointAt(p.addr())))
-			if got.heard = (time.Time{}); got != c.want {
+			if got.heard = (time.Time{}); !reflect.DeepEqual(got, c.want) {
 				t.Errorf("got %+v, want %+v", got, c.want)
 			}
 		})
@@ -186,7 +192,7 @@
 			far.Close()
 		}()
 		k := &conn{Conn: near}
-		if got, reuse := k.exchange(t.Context(), []byte(strings.Repeat("x", 100))); got.outcome != choice.NoRoute || reuse {
+		if got, reuse := k.exchange(t.Context(), []byte(strings.Repeat("x", 100)), nil); got.outcome != choice.NoRoute || reuse {
 			t.Errorf("got %+v, %v", got, reuse)
 		}
 	})
@@ -379,7 +385,7 @@
 				if code == "200" {
 					want = result{outcome: choice.Pass, closed: true}
 				}
-				if got != want || keptBy(pool) != 0 {
+				if !reflect.DeepEqual(got, want) || keptBy(pool) != 0 {
 					t.Errorf("got %+v, want %+v; %d kept", got, want, keptBy(pool))
 				}
 			})
@@ -443,8 +449,8 @@
 			far.Close()
 		}()
 		k := newConn(near, "")
-		res, reuse, err := k.answer()
-		if err != nil && (res != result{} || reuse) {
+		res, reuse, err := k.answer(nil)
+		if err != nil && (!reflect.DeepEqual(res, result{}) || reuse) {
 			t.Errorf("%v with %+v, %v", err, res, reuse)
 		}
 		if err == nil && res.outcome == choice.Pass && !strings.Contains(string(text), " 200") {
@@ -452,3 +458,55 @@
 		}
 	})
 }
+
+// Several messages travel in the form of the protocol's batch, and each fares as the answer says of it. One that can't
+// be read whole proves nothing of any.
+func TestBatch(t *testing.T) {
+	pass, cut := fate{choice.Pass, true}, fate{outcome: choice.Cut}
+	for _, c := range []struct {
+		name, head, body string
+		want             [3]fate
+		wait             time.Duration
+	}{
+		{"each its own", "200 OK", `[{"id":"c","state":"deferred"},{"id":"a","state":"accepted"},{"id":"b","state":"fault"}]`,
+			[3]fate{pass, {outcome: choice.Fault}, {outcome: choice.NoRoom}}, 0},
+		{"not sent", "200 OK", `[{"id":"a","state":"expired"},{"id":"b","state":"no_more"},{"id":"c","state":"accepted"}]`,
+			[3]fate{{choice.Stale, true}, {outcome: choice.Stale}, pass}, 0},
+		{"with a wait", "200 OK\r\nRetry-After: 0.5", `[{"id":"a","state":"accepted"},{"id":"b","state":"accepted"},{"id":"c","state":"deferred"}]`,
+			[3]fate{pass, pass, {outcome: choice.NoRoom}}, 500 * time.Millisecond},
+		{"left out and unknown", "200 OK", `[{"id":"a","state":"accepted"},{"id":"b","state":"odd"},{"id":"x","state":"accepted"}]`,
+			[3]fate{pass, {outcome: choice.Fault}, {outcome: choice.Fault}}, 0},
+		{"named twice", "200 OK", `[{"id":"a","state":"accepted"},{"id":"a","state":"deferred"}]`, [3]fate{cut, cut, cut}, 0},
+		{"no JSON", "200 OK", `ok`, [3]fate{cut, cut, cut}, 0},
+		{"all alike", "429 No\r\nRetry-After: 2", ``,
+			[3]fate{{outcome: choice.NoRoom}, {outcome: choice.NoRoom}, {outcome: choice.NoRoom}}, 2 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			bodies := make(chan string, 1)
+			p := newPartner(t, nil)
+			p.serve = func(nc net.Conn, req *http.Request) bool {
+				_, err := io.WriteString(nc, "HTTP/1.1 "+c.head+"\r\nContent-Length: "+strconv.Itoa(len(c.body))+"\r\n\r\n"+c.body)
+				return err == nil
+			}
+			p.read = func(body []byte) { bodies <- string(body) }
+			testee := testCall(endpointAt(p.addr()))
+			testee.items = []item{{"a", "k", []byte("hello")}, {"b", "", []byte{}}, {"c", "", []byte{0, 0xff}}}
+			got := testPool().do(t.Context(), testee)
+			for i, want := range c.want {
+				if got.of(i) != want {
+					t.Errorf("%d: got %+v, want %+v", i, got.of(i), want)
+				}
+			}
+			if got.wait != c.wait {
+				t.Errorf("got a wait of %v", got.wait)
+			}
+			if path := p.next(t).URL.Path; path != "/v1/messages:batch" {
+				t.Errorf("got %q", path)
+			}
+			const want = `[{"id":"a","key":"k","body":"aGVsbG8="},{"id":"b","body":""},{"id":"c","body":"AP8="}]`
+			if body := <-bodies; body != want {
+				t.Errorf("got %s", body)
+			}
+		})
+	}
+}
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -72,6 +72,7 @@
 type endpoint struct {
 	id, addr string
 	zone     int
+	batch    int           // messages in one call at most
 	shut     atomic.Bool   // it drains or is gone
 	wait     *atomic.Int64 // Unix time in nanoseconds; its destination, or route, asked to be left alone until then
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -34,7 +34,7 @@
 	n   int
 }
 
-// outCall is a call that is out.
+// outCall is the call that an attempt is out in; one with several messages stands there for each of them.
 type outCall struct {
 	m      *past
 	cancel context.CancelFunc
@@ -70,7 +70,7 @@
 		reply chan answer
 	}
 	called struct {
-		attempt
+		attempts []attempt // of the call's items, in their order
 		endpoint *endpoint
 		result
 		took time.Duration
@@ -321,7 +321,7 @@
 		case list:
 			events = append(events, n.listed(e))
 		case called:
-			events = append(events, n.called(e))
+			events = append(events, n.called(e)...)
 		case settled:
 			for _, s := range e {
 				n.forget(s.of)
@@ -415,7 +415,9 @@
 		}
 		if e == nil || e.addr != m.Addr {
 			n.shut(e)
-			n.eps[m.ID] = &endpoint{id: m.ID, addr: m.Addr, zone: entries[i].Zone, wait: n.waitOf(entries[i])}
+			n.eps[m.ID] = &endpoint{
+				id: m.ID, addr: m.Addr, zone: entries[i].Zone, batch: n.batchOf(entries[i]), wait: n.waitOf(entries[i]),
+			}
 		}
 	}
 	for id, e := range n.eps {
@@ -434,6 +436,14 @@
 	}
 }
 
+// batchOf is how many messages one call to an endpoint may carry.
+func (n *Node) batchOf(e choice.Entry) int {
+	if kinds := n.cfg.Settings.Kinds; e.Kind >= 0 && e.Kind < len(kinds) {
+		return max(kinds[e.Kind].Batch, 1)
+	}
+	return 1
+}
+
 // waitOf is where the waits are kept that bind an endpoint: its own if it is a route apart.
 func (n *Node) waitOf(e choice.Entry) *atomic.Int64 {
 	if kinds := n.cfg.Settings.Kinds; e.Kind >= 0 && e.Kind < len(kinds) && kinds[e.Kind].Apart {
@@ -445,44 +455,49 @@
 	return n.waits[e.Dest]
 }
 
-// called notes the outcome of a call. Without a record of it, the attempt may have run.
-func (n *Node) called(e called) choice.Event {
-	m := n.out[e.attempt].m
-	delete(n.out, e.attempt)
-	ended := choice.Ended{
-		ID: m.name(), Attempt: e.n, Endpoint: e.endpoint.id, Outcome: e.outcome, Took: e.took, Closed: e.closed,
-		Wait: e.wait, NoSlot: e.noSlot, Report: e.report, Kept: e.kept, HungUp: e.hungUp,
-	}
-	ominous := n.sender.Ominous(m.dest, ended)
-	switch e.outcome {
-	case choice.NoRoom, choice.NoRoute, choice.Stale:
-		kind := recTurnedAway
-		if ominous {
-			kind = recNotRun
-		}
-		n.journal.add(outcomeRecord(kind, e.seq, e.n))
-	default:
-		if ominous {
-			n.journal.add(outcomeRecord(recFailed, e.seq, e.n))
-		}
-	}
-	if e.closed && m.ended == nil {
-		n.forget(m)
-	}
+// called notes the outcome of a call for each of its messages. Without a record of it, the attempt may have run.
+func (n *Node) called(e called) []choice.Event {
 	if e.wait > 0 {
 		until := time.Now().Add(e.wait).UnixNano()
 		e.endpoint.wait.Store(max(until, e.endpoint.wait.Load()))
 	}
-	return ended
+	events := make([]choice.Event, 0, len(e.attempts))
+	for i, name := range e.attempts {
+		m, fate := n.out[name].m, e.of(i)
+		delete(n.out, name)
+		ended := choice.Ended{
+			ID: m.name(), Attempt: name.n, Endpoint: e.endpoint.id, Outcome: fate.outcome, Took: e.took, Closed: fate.closed,
+			Wait: e.wait, NoSlot: e.noSlot, Report: e.report, Kept: e.kept, HungUp: e.hungUp,
+		}
+		ominous := n.sender.Ominous(m.dest, ended)
+		switch fate.outcome {
+		case choice.NoRoom, choice.NoRoute, choice.Stale:
+			kind := recTurnedAway
+			if ominous {
+				kind = recNotRun
+			}
+			n.journal.add(outcomeRecord(kind, name.seq, name.n))
+		default:
+			if ominous {
+				n.journal.add(outcomeRecord(recFailed, name.seq, name.n))
+			}
+		}
+		if fate.closed && m.ended == nil {
+			n.forget(m)
+		}
+		events = append(events, ended)
+	}
+	return events
 }
 
 // step lets the module decide and carries out what it says, in order, once the records are written that guard
 // it. fresh are the messages whose clients still wait to hear whether they are taken on.
 func (n *Node) step(ctx context.Context, events []choice.Event, fresh newcomers) {
+	calls := map[string]*outgoing{} // by endpoint: those that further sends of this step may join
 	for _, a := range n.sender.Step(n.now(), events) {
 		switch a := a.(type) {
 		case choice.Send:
-			n.send(ctx, a)
+			n.send(ctx, a, calls)
 		case choice.PushBack:
 			n.end(a.ID, ending{after: a.RetryAfter}, fresh)
 		case choice.Fail:
@@ -538,30 +553,56 @@
 	n.acts = append(n.acts, func() { n.owed = append(n.owed, notice) })
 }
 
-// send journals an attempt, and makes the call once that is written.
-func (n *Node) send(ctx context.Context, a choice.Send) {
+// outgoing is a call while its step gathers the messages for it.
+type outgoing struct {
+	call
+	attempts []attempt
+	messages []*past
+	room     int // what its items take in a batch's body
+}
+
+// send journals an attempt, and makes the call once that is written. What one step sends to one endpoint travels
+// as one call, as far as its kind and a body have room: the module counts one slot for it, and the endpoint one call.
+func (n *Node) send(ctx context.Context, a choice.Send, calls map[string]*outgoing) {
 	p, e := n.journal.live[seqOf(a.ID)], n.eps[a.Endpoint]
 	if e == nil {
 		// The list has just lost it; a call there is Stale, and so proven not to have run.
 		e = &endpoint{id: a.Endpoint, wait: new(atomic.Int64)}
 		e.shut.Store(true)
 	}
-	name, now := attempt{p.seq, len(p.sends)}, time.Now()
-	n.journal.add(attemptRecord(p.seq, now, e.zone))
-	c := call{id: p.id, key: p.key, body: p.body, endpoint: e, notPast: n.wall(a.NotPast), fresh: a.Fresh}
-	n.acts = append(n.acts, func() {
-		ctx, cancel := context.WithCancel(ctx)
-		n.out[name] = outCall{p, cancel}
-		n.calls.Go(func() {
-			defer cancel()
-			began := time.Now()
-			res := n.pool.do(ctx, c)
-			took := time.Since(began)
-			if !res.heard.IsZero() {
-				took = res.heard.Sub(began) // an answer may be spoilt from there on, and take its time
-			}
-			// Not by tell: the loop takes every call's end, also while the node leaves.
-			n.events <- called{name, e, res, took}
-		})
+	name := attempt{p.seq, len(p.sends)}
+	n.journal.add(attemptRecord(p.seq, time.Now(), e.zone))
+	one := item{p.id, p.key, p.body}
+	o := calls[a.Endpoint]
+	if o == nil || len(o.items) >= e.batch || o.room+one.room() > maxBody {
+		o = &outgoing{call: call{endpoint: e}}
+		calls[a.Endpoint] = o
+		n.acts = append(n.acts, func() { n.call(ctx, o) })
+	}
+	o.items, o.room = append(o.items, one), o.room+one.room()
+	o.attempts, o.messages = append(o.attempts, name), append(o.messages, p)
+	// It ends for all at once: who gave up on one alone could not take it out of the call.
+	if t := n.wall(a.NotPast); t.After(o.notPast) {
+		o.notPast = t
+	}
+	o.fresh = o.fresh || a.Fresh
+}
+
+// call makes a call whose attempts are journaled.
+func (n *Node) call(ctx context.Context, o *outgoing) {
+	ctx, cancel := context.WithCancel(ctx)
+	for i, name := range o.attempts {
+		n.out[name] = outCall{o.messages[i], cancel}
+	}
+	n.calls.Go(func() {
+		defer cancel()
+		began := time.Now()
+		res := n.pool.do(ctx, o.call)
+		took := time.Since(began)
+		if !res.heard.IsZero() {
+			took = res.heard.Sub(began) // an answer may be spoilt from there on, and take its time
+		}
+		// Not by tell: the loop takes every call's end, also while the node leaves.
+		n.events <- called{o.attempts, o.endpoint, res, took}
 	})
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -728,11 +728,20 @@
 
 // bareNode is a node of which the test itself is the loop.
 func bareNode(t *testing.T, known ...string) *Node {
+	t.Helper()
+	return bareAltered(t, nil, known...)
+}
+
+// bareAltered is bareNode with something changed in the configuration.
+func bareAltered(t *testing.T, alter func(*Config), known ...string) *Node {
 	t.Helper()
 	cfg, err := LoadConfig(writeConfig(t, "127.0.0.1:0", "127.0.0.1:9", known...), t.TempDir())
 	if err != nil {
 		t.Fatal(err)
 	}
+	if alter != nil {
+		alter(&cfg)
+	}
 	n, err := New(cfg, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
@@ -885,3 +894,55 @@
 	n.pool.close()
 	n.calls.Wait()
 }
+
+// What the module sends in one step to one endpoint is one call there and takes one slot, up to the kind's size of a
+// batch and to what a body holds.
+func TestSendsOfAStepTravelTogether(t *testing.T) {
+	for _, c := range []struct {
+		name                         string
+		batch, messages, body, calls int
+	}{
+		{"one kind without batches", 1, 3, 10, 3},
+		{"together", 10, 3, 10, 1},
+		{"more than one call holds", 4, 6, 10, 2},
+		{"large bodies", 10, 3, 30 << 10, 3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := newPartner(t, silent)
+			n := bareAltered(t, func(cfg *Config) {
+				cfg.Settings.MaxOpen = 100
+				cfg.Settings.Kinds = []choice.Kind{{Batch: c.batch}}
+				cfg.Settings.Slots = 100
+			}, serving("e", p.addr(), 7, "SERVING"))
+			var batch []any
+			for i := range c.messages {
+				a := handIn("m"+itoa(i), 50*time.Second)
+				a.body = make([]byte, c.body)
+				batch = append(batch, a)
+			}
+			n.take(t.Context(), batch)
+			for range c.calls {
+				p.next(t)
+			}
+			if len(n.out) != c.messages {
+				t.Errorf("%d attempts out", len(n.out))
+			}
+			for _, out := range n.out {
+				out.cancel()
+			}
+			n.calls.Wait() // each has put its end among the events
+			if ended := len(n.events); ended != c.calls {
+				t.Errorf("%d calls, want %d", ended, c.calls)
+			}
+			for len(n.events) > 0 {
+				e := (<-n.events).(called)
+				if len(n.called(e)) != len(e.attempts) {
+					t.Error("an attempt without its outcome")
+				}
+			}
+			if len(n.out) != 0 {
+				t.Errorf("%d attempts out after their calls", len(n.out))
+			}
+		})
+	}
+}
