--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -15,6 +15,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"starlingusher/internal/wire"
 )
 
 // The reader below is our own: redcon v1.6.4 indexes out of its buffer on a bulk length near the largest
@@ -46,6 +48,7 @@
 type request struct {
 	id, key     string
 	class, dest int
+	tenant      int // -1 if it is not in the settings
 	life        time.Duration
 	body        []byte
 	came        time.Time
@@ -209,8 +212,8 @@
 }
 
 // parseEnqueue reads the words of an ENQUEUE.
-func parseEnqueue(args [][]byte, classes []string, came time.Time) (request, error) {
-	q := request{came: came, class: -1, dest: -1, life: -1}
+func parseEnqueue(args [][]byte, names wire.Names, came time.Time) (request, error) {
+	q := request{came: came, class: -1, tenant: -1, dest: -1, life: -1}
 	if len(args) != 5 {
 		return q, errors.New("wrong number of arguments for 'enqueue' command")
 	}
@@ -225,9 +228,11 @@
 		name, value, _ := strings.Cut(field, "=")
 		switch name {
 		case "c":
-			if q.class = slices.Index(classes, value); q.class < 0 {
+			if q.class = slices.Index(names.Classes, value); q.class < 0 {
 				return q, errors.New("unknown class")
 			}
+		case "t":
+			q.tenant = slices.Index(names.Tenants, value)
 		case "d":
 			ms, err := decimal(value, float64(maxLife.Milliseconds()))
 			if err != nil {
@@ -316,13 +321,13 @@
 
 // clients serves the node's clients.
 type clients struct {
-	ln      net.Listener
-	room    chan struct{} // a place for each connection
-	keep    int           // of connections that are idle after a request at most; see rest
-	stop    chan struct{}
-	served  chan struct{} // closed when nothing more is accepted
-	classes []string
-	hand    func(request) answer
+	ln     net.Listener
+	room   chan struct{} // a place for each connection
+	keep   int           // of connections that are idle after a request at most; see rest
+	stop   chan struct{}
+	served chan struct{} // closed when nothing more is accepted
+	names  wire.Names
+	hand   func(request) answer
 
 	mu     sync.Mutex
 	open   map[*session]bool
@@ -331,10 +336,10 @@
 	wg     sync.WaitGroup
 }
 
-func newClients(ln net.Listener, most int, classes []string, hand func(request) answer) *clients {
+func newClients(ln net.Listener, most int, names wire.Names, hand func(request) answer) *clients {
 	return &clients{
 		ln: ln, room: make(chan struct{}, max(most, 1)), keep: max(most/3, 1), stop: make(chan struct{}), served: make(chan struct{}),
-		classes: classes, hand: hand, open: map[*session]bool{},
+		names: names, hand: hand, open: map[*session]bool{},
 	}
 }
 
@@ -486,7 +491,7 @@
 	case "PING":
 		return "+PONG\r\n"
 	case "ENQUEUE":
-		q, err := parseEnqueue(args, c.classes, came)
+		q, err := parseEnqueue(args, c.names, came)
 		if err != nil {
 			return answer{failed: err.Error()}.line()
 		}
--- a/internal/node/clients_test.go
+++ b/internal/node/clients_test.go
@@ -12,6 +12,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"starlingusher/internal/wire"
 )
 
 func serveTest(t *testing.T, most int, hand func(request) answer) (*clients, string) {
@@ -20,7 +22,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := newClients(ln, most, []string{"notice"}, hand)
+	c := newClients(ln, most, wire.Names{Classes: []string{"notice"}, Tenants: []string{"acme", "zen"}}, hand)
 	go c.serve(t.Context())
 	t.Cleanup(func() {
 		select {
@@ -118,13 +120,13 @@
 	})
 	nc, br := dialTest(t, addr)
 	go io.WriteString(nc, enqueue("a", "c=notice,d=8000,dest=7", strings.Repeat("x", maxBody+1))+
-		"PING\r\n"+enqueue("b", "c=notice,d=1500.5,dest=7,k=key,r=1", "\r\n\x00$*")+resp("PING"))
+		"PING\r\n"+enqueue("b", "c=notice,t=zen,d=1500.5,dest=7,k=key,r=1", "\r\n\x00$*")+resp("PING"))
 	for _, want := range []string{"-ERR a body", "+PONG", "+OK", "+PONG"} {
 		if line, err := br.ReadString('\n'); err != nil || !strings.HasPrefix(line, want) {
 			t.Fatalf("got %q, %v, want %q", line, err, want)
 		}
 	}
-	if got.id != "b" || got.key != "key" || got.dest != 7 || got.life != 1500500*time.Microsecond || string(got.body) != "\r\n\x00$*" {
+	if got.id != "b" || got.key != "key" || got.tenant != 1 || got.dest != 7 || got.life != 1500500*time.Microsecond || string(got.body) != "\r\n\x00$*" {
 		t.Errorf("got %+v", got)
 	}
 }
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -47,6 +47,7 @@
 	seq      uint64
 	id, key  string
 	class    int
+	tenant   int // -1 for none that is known
 	dest     int
 	body     []byte
 	deadline time.Time
@@ -198,7 +199,10 @@
 	switch payload[0] {
 	case recAccepted:
 		p = &past{seq: seq, id: string(f.bytes()), key: string(f.bytes()), class: int(f.number()), dest: int(f.number()),
-			deadline: f.time(), body: f.bytes()}
+			deadline: f.time(), body: f.bytes(), tenant: -1}
+		if len(f.b) > 0 { // not in records of old
+			p.tenant = int(f.number()) - 1
+		}
 		if !f.bad {
 			j.live[seq] = p
 			j.held += p.size()
@@ -251,7 +255,7 @@
 	b := record(recAccepted, p.seq)
 	b = appendBytes(appendBytes(b, []byte(p.id)), []byte(p.key))
 	b = binary.AppendUvarint(binary.AppendUvarint(b, uint64(p.class)), uint64(p.dest))
-	return appendBytes(appendTime(b, p.deadline), p.body)
+	return binary.AppendUvarint(appendBytes(appendTime(b, p.deadline), p.body), uint64(p.tenant+1))
 }
 
 func attemptRecord(seq uint64, at time.Time, zone int) []byte {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -122,7 +122,7 @@
 	parts.Go(func() { n.consult(life) })
 	n.log.Info("serving", "sockets", n.cfg.Limits.Sockets, "memory_mb", n.cfg.Limits.MemoryMB, "disk_mb", n.cfg.Limits.DiskMB,
 		"cores", n.cfg.Limits.Cores, "slots", n.cfg.Settings.Slots, "max_open", n.cfg.Settings.MaxOpen)
-	clients := newClients(ln, n.cfg.Limits.Sockets/2, n.cfg.Names.Classes, func(q request) answer { return n.hand(life, q) })
+	clients := newClients(ln, n.cfg.Limits.Sockets/2, n.cfg.Names, func(q request) answer { return n.hand(life, q) })
 	parts.Go(func() { clients.serve(life) })
 	gone := make(chan struct{})
 	parts.Go(func() {
@@ -235,7 +235,7 @@
 // arrived is the module's event of a message. A deadline that has not been through the journal is on the
 // monotonic clock, so that a step of the wall clock does not move it.
 func (n *Node) arrived(p *past, deadline time.Time) choice.Arrived {
-	return choice.Arrived{ID: p.name(), Class: p.class, Dest: p.dest, Key: p.key, DropDead: n.at(deadline)}
+	return choice.Arrived{ID: p.name(), Class: p.class, Tenant: p.tenant, Dest: p.dest, Key: p.key, DropDead: n.at(deadline)}
 }
 
 // tell hands the loop an event.
@@ -372,7 +372,7 @@
 		return nil
 	}
 	p, err := n.journal.accept(
-		&past{id: a.id, key: a.key, class: a.class, dest: a.dest, body: a.body, deadline: a.came.Add(a.life)})
+		&past{id: a.id, key: a.key, class: a.class, tenant: a.tenant, dest: a.dest, body: a.body, deadline: a.came.Add(a.life)})
 	if err != nil {
 		a.reply <- n.turnAway(a)
 		return nil
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -23,6 +23,7 @@
 	"time"
 
 	"starlingusher/choice"
+	"starlingusher/internal/wire"
 )
 
 func itoa(n int) string { return strconv.Itoa(n) }
@@ -946,3 +947,38 @@
 		})
 	}
 }
+
+// The module weighs a message by its tenant's share, before a restart and after it. A tenant that the settings don't
+// name is nobody's share, least of all the first one's; a journal of before tenants were told names none.
+func TestTheTenantReachesTheModule(t *testing.T) {
+	names := wire.Names{Classes: []string{"status"}, Tenants: []string{"acme", "zen"}}
+	dir := t.TempDir()
+	j := openTest(t, dir, 3)
+	n := &Node{start: time.Now(), journal: j, messages: map[string]*past{}, sender: choice.New(choice.Settings{}, 1)}
+	n.sender.Step(n.now(), []choice.Event{choice.Listed{Entries: []choice.Entry{{Endpoint: "e", Dest: 7}}}})
+	want := map[string]int{"acme": 0, "zen": 1, "": -1, "other": -1}
+	for tenant, place := range want {
+		args := [][]byte{[]byte("ENQUEUE"), []byte("0"), []byte("of:" + tenant), []byte("c=status,d=9000,dest=7,t=" + tenant), nil}
+		q, err := parseEnqueue(args, names, time.Now())
+		if err != nil {
+			t.Fatal(err)
+		}
+		p := n.accept(arrival{request: q}, newcomers{})
+		if got := n.arrived(p, p.deadline).Tenant; got != place {
+			t.Errorf("%q: got %d, want %d", tenant, got, place)
+		}
+	}
+	old := acceptedRecord(&past{seq: j.next, id: "of:old", deadline: time.Now()})
+	j.add(old[:len(old)-1])
+	want["old"] = -1
+	mustFlush(t, j)
+	again := openTest(t, dir, 3)
+	for _, p := range again.live {
+		if got, place := n.resumed(p).Tenant, want[strings.TrimPrefix(p.id, "of:")]; got != place {
+			t.Errorf("%q after a restart: got %d, want %d", p.id, got, place)
+		}
+	}
+	if len(again.live) != len(want) {
+		t.Errorf("%d live", len(again.live))
+	}
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -109,9 +109,9 @@
 	return s, nil
 }
 
-// Names are the words that the settings give to classes, kinds and zones; a word's place is its number.
+// Names are the words that the settings give to classes, kinds, zones and tenants; a word's place is its number.
 type Names struct {
-	Classes, Kinds, Zones []string
+	Classes, Kinds, Zones, Tenants []string
 }
 
 // SettingsNames reads the names from the settings.
@@ -120,6 +120,9 @@
 		Categories []struct {
 			Name string `json:"name"`
 		} `json:"categories"`
+		Customers []struct {
+			Name string `json:"name"`
+		} `json:"customers"`
 		Flavors []string `json:"flavors"`
 		Zones   []string `json:"failureDomains"`
 	}
@@ -130,5 +133,8 @@
 	for _, k := range c.Categories {
 		n.Classes = append(n.Classes, k.Name)
 	}
+	for _, t := range c.Customers {
+		n.Tenants = append(n.Tenants, t.Name)
+	}
 	return n, nil
 }
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -136,8 +136,8 @@
 }
 
 func TestSettingsNames(t *testing.T) {
-	n, err := SettingsNames(json.RawMessage(`{"categories":[{"name":"a"},{"name":"b"}],"flavors":["big"],"failureDomains":["z1","z2"]}`))
-	want := Names{Classes: []string{"a", "b"}, Kinds: []string{"big"}, Zones: []string{"z1", "z2"}}
+	n, err := SettingsNames(json.RawMessage(`{"categories":[{"name":"a"},{"name":"b"}],"flavors":["big"],"customers":[{"name":"x"},{"name":"y"}],"failureDomains":["z1","z2"]}`))
+	want := Names{Classes: []string{"a", "b"}, Kinds: []string{"big"}, Zones: []string{"z1", "z2"}, Tenants: []string{"x", "y"}}
 	if err != nil || !reflect.DeepEqual(n, want) {
 		t.Errorf("got %+v, %v", n, err)
 	}
