Keep payouts in calls of their own, apart from what may be repeated

On sockets a call is given up whole. A payout is given all its time, so in a hang it held the repeatable messages of its batch to their deadlines without another try. The module groups only what can be given up together, and numbers the call that each send belongs to, so that the network code joins just those.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1043,14 +1043,16 @@
 // send sends a message and, where the kind allows, more of the destination's waiting ones in the same call.
 func (s *Sender) send(d *destination, m *message, e *endpoint) {
 	r := e.route
-	c := &call{ep: e, sentAt: s.now, trial: r.sick, repeatable: true}
+	c := &call{ep: e, sentAt: s.now, trial: r.sick, repeatable: m.class.Effect != Unsafe}
+	s.made++
 	r.trial = r.trial || c.trial
 	group := []*message{m}
 	for _, o := range d.waiting {
 		if len(group) >= s.batch(d) || c.trial {
 			break
 		}
-		if o != m && s.check(o, e) {
+		// On sockets a call is given up whole: what may be repeated is not tied to the time of what may not.
+		if o != m && c.repeatable == (o.class.Effect != Unsafe) && s.check(o, e) {
 			group = append(group, o)
 		}
 	}
@@ -1061,11 +1063,10 @@
 		o.attempts++
 		o.out++
 		c.left++
-		c.repeatable = c.repeatable && o.class.Effect != Unsafe
 		// What may not be repeated is lost when a kept connection turns out broken; a handshake costs less,
 		// and less than another turn for what has had one.
 		fresh := s.now < s.wornTil && (o.class.Effect == Unsafe || o.attempts > 1)
-		s.do(Send{ID: o.id, Endpoint: e.id, NotPast: s.timeout(o, e), Fresh: fresh})
+		s.do(Send{ID: o.id, Endpoint: e.id, Call: s.made, NotPast: s.timeout(o, e), Fresh: fresh})
 	}
 	r.tokens--
 	if e.sentAt > 0 {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -599,3 +599,40 @@
 	}
 	w.finish()
 }
+
+// A call of several messages is given up whole. One that may not be repeated is given all its time, so those that may
+// be travel apart from it, and get another try when their own time-out has passed.
+func TestUnsafeMessagesTravelApart(t *testing.T) {
+	cfg := settings()
+	cfg.Kinds = []Kind{{Batch: 10}}
+	classOf := func(e Effect) int {
+		return slices.IndexFunc(cfg.Classes, func(c Class) bool { return c.Effect == e && !c.Ordered })
+	}
+	s := New(cfg, 1)
+	s.Step(time.Hour, []Event{list(Entry{Endpoint: "a", Weight: 1000})})
+	var events []Event
+	for i := range 9 {
+		events = append(events, Arrived{
+			ID: fmt.Sprint(i), Class: classOf([]Effect{Safe, Keyed, Unsafe}[i%3]), DropDead: time.Hour + time.Minute,
+		})
+	}
+	calls := map[uint64]map[bool]int{}
+	for _, a := range s.Step(time.Hour+time.Second, events) {
+		if a, ok := a.(Send); ok {
+			if calls[a.Call] == nil {
+				calls[a.Call] = map[bool]int{}
+			}
+			calls[a.Call][a.ID == "2" || a.ID == "5" || a.ID == "8"]++
+		}
+	}
+	together := 0
+	for _, c := range calls {
+		if len(c) > 1 {
+			t.Errorf("a call mixes them: %v", c)
+		}
+		together = max(together, c[false])
+	}
+	if together < 2 {
+		t.Errorf("what may be repeated does not travel together: %v", calls)
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -25,6 +25,7 @@
 	wornTil time.Duration            // kept connections are not trusted until then
 	tenants []tenant
 	busy    int                 // calls out
+	made    uint64              // calls so far
 	sent    map[attempt]sending // attempts without an outcome
 	active  []*destination      // with messages waiting or calls out; swept in release
 	wakeAt  time.Duration       // the earliest wake asked for
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -493,7 +493,7 @@
 // step lets the module decide and carries out what it says, in order, once the records are written that guard
 // it. fresh are the messages whose clients still wait to hear whether they are taken on.
 func (n *Node) step(ctx context.Context, events []choice.Event, fresh newcomers) {
-	calls := map[string]*outgoing{} // by endpoint: those that further sends of this step may join
+	calls := map[uint64]*outgoing{} // by the module's number: those that further sends of this step may join
 	for _, a := range n.sender.Step(n.now(), events) {
 		switch a := a.(type) {
 		case choice.Send:
@@ -561,9 +561,9 @@
 	room     int // what its items take in a batch's body
 }
 
-// send journals an attempt, and makes the call once that is written. What one step sends to one endpoint travels
-// as one call, as far as its kind and a body have room: the module counts one slot for it, and the endpoint one call.
-func (n *Node) send(ctx context.Context, a choice.Send, calls map[string]*outgoing) {
+// send journals an attempt, and makes the call once that is written. What the module sends together travels as one
+// call, as far as its kind and a body have room: the module counts one slot for it, and the endpoint one call.
+func (n *Node) send(ctx context.Context, a choice.Send, calls map[uint64]*outgoing) {
 	p, e := n.journal.live[seqOf(a.ID)], n.eps[a.Endpoint]
 	if e == nil {
 		// The list has just lost it; a call there is Stale, and so proven not to have run.
@@ -573,10 +573,10 @@
 	name := attempt{p.seq, len(p.sends)}
 	n.journal.add(attemptRecord(p.seq, time.Now(), e.zone))
 	one := item{p.id, p.key, p.body}
-	o := calls[a.Endpoint]
+	o := calls[a.Call]
 	if o == nil || len(o.items) >= e.batch || o.room+one.room() > maxBody {
 		o = &outgoing{call: call{endpoint: e}}
-		calls[a.Endpoint] = o
+		calls[a.Call] = o
 		n.acts = append(n.acts, func() { n.call(ctx, o) })
 	}
 	o.items, o.room = append(o.items, one), o.room+one.room()
