--- /dev/null
+++ b/internal/node/notices_test.go
@@ -0,0 +1,72 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// A backlog of notices goes out in bodies of 64 KiB at most, each notice once and in order; those that were not
+// answered are returned for the next address.
+func TestBacklogOfNotices(t *testing.T) {
+	const all, answered = 2000, 3 // posts
+	var bodies []string           // written by the server, read after its end
+	full := make(chan struct{})
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return
+		}
+		if len(bodies) == answered {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			select {
+			case <-full:
+			default:
+				close(full)
+			}
+			return
+		}
+		bodies = append(bodies, string(body))
+		w.WriteHeader(http.StatusNoContent)
+	}))
+	defer srv.Close()
+	var owed []notice
+	for i := range all {
+		owed = append(owed, newNotice(&past{id: strings.Repeat("i", 200) + itoa(i), ended: &ending{after: time.Second}}))
+	}
+	more := make(chan []notice)
+	ctx, cancel := context.WithCancel(t.Context())
+	var reported sync.WaitGroup
+	var done, left []notice
+	reported.Go(func() {
+		left = report(ctx, slog.New(slog.DiscardHandler), srv.Client(), srv.Listener.Addr().String(), nil, more,
+			func(n []notice) { done = append(done, n...) })
+	})
+	more <- owed
+	<-full
+	cancel()
+	reported.Wait()
+	srv.Close()
+	told := 0
+	for _, body := range bodies {
+		if len(body) > maxReport {
+			t.Errorf("a body of %d bytes", len(body))
+		}
+		for lines := bufio.NewScanner(strings.NewReader(body)); lines.Scan(); told++ {
+			want := `{"id":"` + owed[told].ID + `","state":"returned","after_ms":1000}`
+			if lines.Text() != want {
+				t.Fatalf("got %s, want %s", lines.Text(), want)
+			}
+		}
+	}
+	if len(done) != told || told == 0 || len(left) != all-told || left[0].ID != owed[told].ID {
+		t.Errorf("%d told, %d done, %d left", told, len(done), len(left))
+	}
+}
