--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -35,6 +36,9 @@
 // LoadConfig reads the configuration file of a node whose lasting folder is state.
 func LoadConfig(path, state string) (Config, error) {
 	var c Config
+	if path == "" || state == "" {
+		return c, errors.New("configuration: ROUTER_CONFIG must name the file and ROUTER_STATE the folder that lasts")
+	}
 	raw, err := os.ReadFile(path)
 	if err != nil {
 		return c, fmt.Errorf("configuration: %w", err)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -982,3 +982,17 @@
 		t.Errorf("%d live", len(again.live))
 	}
 }
+
+// Without the folder that lasts the journal stood in whatever folder the process was started from, and the next start
+// might not find it.
+func TestConfigurationNamesItsFolder(t *testing.T) {
+	path := writeConfig(t, "127.0.0.1:0", "127.0.0.1:9", held())
+	if _, err := LoadConfig(path, t.TempDir()); err != nil {
+		t.Error(err)
+	}
+	for _, c := range [][2]string{{path, ""}, {"", t.TempDir()}} {
+		if _, err := LoadConfig(c[0], c[1]); err == nil || !strings.Contains(err.Error(), "ROUTER_STATE") {
+			t.Errorf("%q: got %v", c, err)
+		}
+	}
+}
