Keep payouts apart only where a partner's silence is to be feared

Apart everywhere, the additional calls took slots from others while their partners were well. Now it holds where the destination is lame or recovering.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1046,13 +1046,15 @@
 	c := &call{ep: e, sentAt: s.now, trial: r.sick, repeatable: m.class.Effect != Unsafe}
 	s.made++
 	r.trial = r.trial || c.trial
+	// On sockets a call is given up whole: where silence is to be feared, what may be repeated is not tied to the
+	// time of what may not. Where it isn't, twice the calls would only take slots from others.
+	mixed := !r.recovering() && !s.lame(d)
 	group := []*message{m}
 	for _, o := range d.waiting {
 		if len(group) >= s.batch(d) || c.trial {
 			break
 		}
-		// On sockets a call is given up whole: what may be repeated is not tied to the time of what may not.
-		if o != m && c.repeatable == (o.class.Effect != Unsafe) && s.check(o, e) {
+		if o != m && (mixed || c.repeatable == (o.class.Effect != Unsafe)) && s.check(o, e) {
 			group = append(group, o)
 		}
 	}
@@ -1063,6 +1065,7 @@
 		o.attempts++
 		o.out++
 		c.left++
+		c.repeatable = c.repeatable && o.class.Effect != Unsafe
 		// What may not be repeated is lost when a kept connection turns out broken; a handshake costs less,
 		// and less than another turn for what has had one.
 		fresh := s.now < s.wornTil && (o.class.Effect == Unsafe || o.attempts > 1)
