--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1046,8 +1046,8 @@
 	c := &call{ep: e, sentAt: s.now, trial: r.sick, repeatable: m.class.Effect != Unsafe}
 	s.made++
 	r.trial = r.trial || c.trial
-	// On sockets a call is given up whole: where silence is to be feared, what may be repeated is not tied to the
-	// time of what may not. Where it isn't, twice the calls would only take slots from others.
+	// On sockets a call is given up whole: where silence is to be feared, what may be repeated is not tied to
+	// the time of what may not. Where it isn't, twice the calls would only take slots from others.
 	mixed := !r.recovering() && !s.lame(d)
 	group := []*message{m}
 	for _, o := range d.waiting {
