Operators' address with ready and figures

Ruled out: a shared http.Transport-like limit on callers. Without the eviction TestSilentCallersShutNobodyOut fails, without show() TestFigures never sees a ready node. Seen to fail so, then 20 times green.

--- a/choice/state.go
+++ b/choice/state.go
@@ -218,6 +218,16 @@
 	}
 }
 
+// Pool counts the endpoints that are listed, and those of them that are avoided for now.
+func (s *Sender) Pool() (listed, avoided int) {
+	for _, e := range s.eps {
+		if e.route.sick {
+			avoided++
+		}
+	}
+	return len(s.eps), avoided
+}
+
 // forget lets go of destinations that have had no endpoint for long and nothing under way, and of waits that are
 // over.
 func (s *Sender) forget() {
--- a/cmd/coralyard/main.go
+++ b/cmd/coralyard/main.go
@@ -34,15 +34,24 @@
 	if err != nil {
 		return err
 	}
+	if addr := os.Getenv("ROUTER_ADMIN_ADDR"); addr != "" {
+		cfg.AdminAddr = addr
+	}
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Limits.Cores))))
 	if mb := float64(cfg.Limits.MemoryMB); mb > 0 {
 		// About half of the limit: sockets' buffers, stacks and the journal's two files count against it as well.
 		debug.SetMemoryLimit(int64(max((mb-cfg.Limits.DiskMB)/2, mb/4) * (1 << 20)))
 	}
+	admin, err := node.ListenAdmin(cfg, log)
+	if err != nil {
+		return err
+	}
+	defer admin.Close()
 	n, err := node.New(cfg, log.With("node", cfg.Name))
 	if err != nil {
 		return err
 	}
+	admin.Serve(n)
 	ln, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("clients: %w", err)
--- /dev/null
+++ b/internal/node/admin_test.go
@@ -0,0 +1,198 @@
+package node
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"starlingusher/choice"
+)
+
+// openAdmin opens an operators' address for a test.
+func openAdmin(t *testing.T, sockets int) (*Admin, string) {
+	t.Helper()
+	cfg := Config{AdminAddr: "127.0.0.1:0"}
+	cfg.Limits.Sockets = sockets
+	a, err := ListenAdmin(cfg, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { a.Close() })
+	return a, a.ln.Addr().String()
+}
+
+// adminCall makes one call and returns the answer's status and body.
+func adminCall(t *testing.T, addr, method, target string) (int, string) {
+	t.Helper()
+	nc, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	nc.SetDeadline(time.Now().Add(patience))
+	fmt.Fprintf(nc, "%s %s HTTP/1.1\r\nHost: node\r\n\r\n", method, target)
+	resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil || !resp.Close {
+		t.Errorf("%v; the connection is kept: %v", err, !resp.Close)
+	}
+	return resp.StatusCode, string(body)
+}
+
+// figuresAt fetches the figures.
+func figuresAt(t *testing.T, addr string) map[string]int {
+	t.Helper()
+	code, body := adminCall(t, addr, "GET", "/-/metrics")
+	if code != http.StatusOK {
+		t.Fatalf("got %d %q", code, body)
+	}
+	all := map[string]int{}
+	for line := range strings.Lines(body) {
+		name, value, _ := strings.Cut(strings.TrimSpace(line), ":")
+		number, kind, _ := strings.Cut(value, "|")
+		n, err := strconv.Atoi(number)
+		if err != nil || (kind != "c" && kind != "g") {
+			t.Errorf("no figure: %q", line)
+		}
+		all[name+"|"+kind] = n
+	}
+	return all
+}
+
+func TestFigures(t *testing.T) {
+	t.Parallel()
+	p := newPartner(t, func(nc net.Conn, req *http.Request) bool {
+		if req.Header.Get("X-Trace-Id") == "fails" {
+			return says("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")(nc, req)
+		}
+		return says(delivered)(nc, req)
+	})
+	r := newRegistry(t)
+	a, admin := openAdmin(t, 256)
+	if code, body := adminCall(t, admin, "GET", "/-/ready"); code != http.StatusServiceUnavailable || body != "starting\n" {
+		t.Errorf("before there is a node: %d %q", code, body)
+	}
+	var n *Node
+	addr, stop := startSeen(t, r, t.TempDir(), func(made *Node) { n = made; a.Serve(made) },
+		serving("e", p.addr(), 7, "SERVING"), serving("off", "127.0.0.1:9", 8, "DRAINING"))
+	eventually(t, "ready", func() bool { code, _ := adminCall(t, admin, "GET", "/-/ready"); return code == http.StatusOK })
+	first := figuresAt(t, admin)
+	for _, class := range []string{"status", "order", "payout"} {
+		for _, name := range []string{"ok", "shed", "errors", "tries"} {
+			if v, ok := first["app."+name+"."+class+"|c"]; !ok || v != 0 {
+				t.Errorf("at first %s of %s is %d, %v", name, class, v, ok)
+			}
+		}
+	}
+	mustAnswer(t, addr, enqueue("a", ofStatus, "x"), "+OK")
+	mustAnswer(t, addr, enqueue("fails", ofPayout, "x"), "+OK")
+	taken := 0
+	for i := range 6 { // held, for nothing may be sent there
+		if ask(t, addr, enqueue("h"+itoa(i), "c=order,d=50000,dest=8,k=k"+itoa(i), "x")) == "+OK" {
+			taken++
+		}
+	}
+	want := map[string]int{
+		"app.ok.status|c": 1, "app.tries.status|c": 1, "app.errors.payout|c": 1, "app.tries.payout|c": 1,
+		"app.ok.payout|c": 0, "app.shed.order|c": 6 - taken, "app.tries.order|c": 0, "app.active|g": taken,
+		"app.pool_size|g": 2, "app.pool_ejected|g": 0,
+	}
+	eventually(t, "the figures", func() bool {
+		got := figuresAt(t, admin)
+		for name, v := range want {
+			if got[name] != v {
+				return false
+			}
+		}
+		return taken > 0 && taken < 6
+	})
+	stop()
+	if got := n.Unready(); got != "leaving" {
+		t.Errorf("after the end the node says %q", got)
+	}
+}
+
+// A call counts with all its messages, and only once its last byte is written.
+func TestTriesCountWhatIsWrittenWhole(t *testing.T) {
+	t.Parallel()
+	p := newPartner(t, says(delivered))
+	n := &Node{figures: newFigures([]string{"a"})}
+	o := &outgoing{call: testCall(endpointAt(p.addr())), messages: []*past{{}, {}, {class: 7}}}
+	o.wrote = func() { n.wrote(o) }
+	for i, addr := range []string{p.addr(), "127.0.0.1:1"} {
+		o.endpoint = endpointAt(addr)
+		want := []choice.Outcome{choice.Pass, choice.NoRoute}[i]
+		if got := testPool().do(t.Context(), o.call); got.outcome != want || n.figures.tries[0].Load() != 2 {
+			t.Errorf("got %v, %d tries", got.outcome, n.figures.tries[0].Load())
+		}
+	}
+}
+
+func TestAdminRefusesWhatItDoesNotKnow(t *testing.T) {
+	t.Parallel()
+	_, addr := openAdmin(t, 256)
+	for _, c := range [][2]string{
+		{"GET", "/"}, {"GET", "/-/ready/"}, {"GET", "//-/ready"}, {"GET", "/-/../-/ready"}, {"POST", "/-/ready"},
+		{"GET", "/-/endpoints/e/disable"}, {"POST", "/-/endpoints//disable"}, {"PUT", "/-/metrics"}, {"DELETE", "/-"},
+	} {
+		code, body := adminCall(t, addr, c[0], c[1])
+		if code/100 != 4 || strings.Count(body, "\n") != 1 {
+			t.Errorf("%v: %d %q", c, code, body)
+		}
+	}
+}
+
+func TestBadAdminAddressEndsTheStart(t *testing.T) {
+	t.Parallel()
+	_, taken := openAdmin(t, 256)
+	for _, addr := range []string{taken, "nowhere", "127.0.0.1:99999"} {
+		_, err := ListenAdmin(Config{AdminAddr: addr}, slog.New(slog.DiscardHandler))
+		if err == nil || !strings.HasPrefix(err.Error(), "operators' address: ") {
+			t.Errorf("%s: %v", addr, err)
+		}
+	}
+	if a, err := ListenAdmin(Config{}, nil); err != nil || a.Close() != nil {
+		t.Errorf("without an address: %v", err)
+	}
+}
+
+// Callers that hold their connections with no whole call, be they many, shut nobody out, and give way oldest first.
+func TestSilentCallersShutNobodyOut(t *testing.T) {
+	t.Parallel()
+	_, addr := openAdmin(t, 64) // four connections
+	gone := make(chan error, 20)
+	for i := range 20 {
+		nc, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer nc.Close()
+		if i%2 == 0 {
+			io.WriteString(nc, "GET /-/re")
+		}
+		go func() {
+			_, err := io.ReadAll(nc)
+			gone <- err
+		}()
+	}
+	for range 16 { // long before any time-out makes room
+		select {
+		case <-gone:
+		case <-time.After(adminHeaderTimeout / 2):
+			t.Fatal("the oldest hold on to their connections")
+		}
+	}
+	if code, _ := adminCall(t, addr, "GET", "/-/ready"); code != http.StatusServiceUnavailable {
+		t.Errorf("got %d", code)
+	}
+}
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -55,7 +55,8 @@
 	items    []item
 	endpoint *endpoint
 	notPast  time.Time
-	fresh    bool // not on a kept connection
+	fresh    bool   // not on a kept connection
+	wrote    func() // is called once its last byte is written, unless nil
 }
 
 // fate is how a call ended for one of its messages.
@@ -142,7 +143,7 @@
 		return result{outcome: choice.Stale}
 	}
 	stop := context.AfterFunc(ctx, func() { k.Close() })
-	res, reuse := k.exchange(ctx, request, c.items)
+	res, reuse := k.exchange(ctx, request, c)
 	res.kept = kept
 	if stop() && reuse {
 		p.give(c.endpoint, k)
@@ -199,11 +200,14 @@
 }
 
 // exchange writes the request and reads the answer; reuse tells that the connection is good for another call.
-func (k *conn) exchange(ctx context.Context, request []byte, items []item) (res result, reuse bool) {
+func (k *conn) exchange(ctx context.Context, request []byte, c call) (res result, reuse bool) {
 	if n, err := k.Write(request); err != nil && n < len(request) {
 		return result{outcome: choice.NoRoute}, false // without its last byte the endpoint has not begun it
 	}
-	res, reuse, err := k.answer(items)
+	if c.wrote != nil {
+		c.wrote()
+	}
+	res, reuse, err := k.answer(c.items)
 	if err == nil {
 		return res, reuse
 	}
--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -192,7 +192,7 @@
 			far.Close()
 		}()
 		k := &conn{Conn: near}
-		if got, reuse := k.exchange(t.Context(), []byte(strings.Repeat("x", 100)), nil); got.outcome != choice.NoRoute || reuse {
+		if got, reuse := k.exchange(t.Context(), []byte(strings.Repeat("x", 100)), call{}); got.outcome != choice.NoRoute || reuse {
 			t.Errorf("got %+v, %v", got, reuse)
 		}
 	})
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -18,6 +18,7 @@
 	Name      string `json:"name"`
 	Listen    string `json:"listen"`
 	Discovery string `json:"discovery"`
+	AdminAddr string `json:"admin_addr"` // for operators; none if empty
 	Seed      string `json:"seed"`
 	Limits    struct {
 		Cores    float64 `json:"cores"`
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -59,7 +59,9 @@
 	owed     []notice              // not yet handed to the reporter
 	held     int                   // messages without their final answer
 	acts     []func()              // what the records that are not yet written guard, in order
-	wakeAt   time.Duration         // of the module; 0 none
+	figures  *figures
+	stage    atomic.Int32  // shared
+	wakeAt   time.Duration // of the module; 0 none
 	calls    sync.WaitGroup
 }
 
@@ -78,6 +80,15 @@
 	settled []notice
 )
 
+// The stages of a node's life.
+const (
+	starting int32 = iota
+	inService
+	leaving
+)
+
+var stages = [...]string{starting: "starting", leaving: "leaving"}
+
 // New loads the journal. Its folder must be the node's alone.
 func New(cfg Config, log *slog.Logger) (*Node, error) {
 	j, err := openJournal(cfg.State, cfg.Limits.DiskMB)
@@ -90,9 +101,21 @@
 		events: make(chan any, eventQueue), notices: make(chan []notice), moves: make(chan string),
 		over: make(chan struct{}), messages: map[string]*past{},
 		out: map[attempt]outCall{}, eps: map[string]*endpoint{}, waits: map[int]*atomic.Int64{},
+		figures: newFigures(cfg.Names.Classes),
 	}, nil
 }
 
+// Unready tells why the node is not ready to serve, "" if it is. It may be called at any time.
+func (n *Node) Unready() string {
+	if s := n.stage.Load(); s != inService {
+		return stages[s]
+	}
+	if n.figures.listed.Load() == 0 {
+		return "no endpoints are known"
+	}
+	return ""
+}
+
 // seed reads the configuration's hexadecimal seed; any other text serves as well.
 func seed(text string) uint64 {
 	if v, err := strconv.ParseUint(text, 16, 64); err == nil {
@@ -124,10 +147,12 @@
 		"cores", n.cfg.Limits.Cores, "slots", n.cfg.Settings.Slots, "max_open", n.cfg.Settings.MaxOpen)
 	clients := newClients(ln, n.cfg.Limits.Sockets/2, n.cfg.Names, func(q request) answer { return n.hand(life, q) })
 	parts.Go(func() { clients.serve(life) })
+	n.stage.Store(inService)
 	gone := make(chan struct{})
 	parts.Go(func() {
 		defer close(gone)
 		<-ctx.Done()
+		n.stage.Store(leaving)
 		n.tell(life, choice.Leaving{By: n.now() + leaveAfter})
 		sleep(life, leaveAfter)
 		clients.close() // those inside a request get their answers from the loop, which still runs
@@ -250,12 +275,16 @@
 func (n *Node) hand(ctx context.Context, q request) answer {
 	a := arrival{request: q, reply: make(chan answer, 1)}
 	n.tell(ctx, a)
+	var r answer
 	select {
-	case r := <-a.reply:
-		return r
+	case r = <-a.reply:
 	case <-ctx.Done():
-		return answer{refused: true, after: n.cfg.Settings.MaxRetryAfter} // the loop has ended and did not take it on
+		r = answer{refused: true, after: n.cfg.Settings.MaxRetryAfter} // the loop has ended and did not take it on
 	}
+	if r.refused || r.failed != "" {
+		n.figures.told(q.class, !r.refused)
+	}
+	return r
 }
 
 // loop batches what has come and steps through it, until the node has left.
@@ -483,6 +512,9 @@
 			}
 		}
 		if fate.closed && m.ended == nil {
+			if fate.outcome == choice.Pass {
+				count(n.figures.ok, m.class)
+			}
 			n.forget(m)
 		}
 		events = append(events, ended)
@@ -521,6 +553,7 @@
 	for seq := range fresh { // not refused, so taken on
 		n.acts = append(n.acts, func() { fresh.reply(seq, answer{}) })
 	}
+	n.show()
 	if err := n.journal.flush(); err != nil {
 		n.log.Error("waiting for the journal", "acts", len(n.acts), "err", err)
 		return
@@ -531,6 +564,14 @@
 	n.acts = n.acts[:0]
 }
 
+// show brings the figures that the loop alone knows up to date.
+func (n *Node) show() {
+	listed, avoided := n.sender.Pool()
+	n.figures.active.Store(int64(n.held))
+	n.figures.listed.Store(int64(listed))
+	n.figures.avoided.Store(int64(avoided))
+}
+
 // end gives a message its final answer: to its client if that still waits, and by a notice otherwise.
 func (n *Node) end(id string, e ending, fresh newcomers) {
 	p := n.journal.live[seqOf(id)]
@@ -548,6 +589,7 @@
 		return
 	}
 	n.held--
+	n.figures.told(p.class, e.failed)
 	n.journal.add(endedRecord(p.seq, e))
 	notice := newNotice(p)
 	n.acts = append(n.acts, func() { n.owed = append(n.owed, notice) })
@@ -576,6 +618,7 @@
 	o := calls[a.Call]
 	if o == nil || len(o.items) >= e.batch || o.room+one.room() > maxBody {
 		o = &outgoing{call: call{endpoint: e}}
+		o.wrote = func() { n.wrote(o) }
 		calls[a.Call] = o
 		n.acts = append(n.acts, func() { n.call(ctx, o) })
 	}
@@ -588,6 +631,13 @@
 	o.fresh = o.fresh || a.Fresh
 }
 
+// wrote counts the messages of a call that is written whole.
+func (n *Node) wrote(o *outgoing) {
+	for _, m := range o.messages {
+		count(n.figures.tries, m.class)
+	}
+}
+
 // call makes a call whose attempts are journaled.
 func (n *Node) call(ctx context.Context, o *outgoing) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -155,12 +155,25 @@
 // startNode runs a node in this process until the test ends or stop is called.
 func startNode(t *testing.T, r *registry, state string, known ...string) (addr string, stop func()) {
 	t.Helper()
-	return startAltered(t, r, state, nil, known...)
+	return startWith(t, r, state, nil, nil, known...)
+}
+
+// startSeen is startNode with the node shown to see before it runs.
+func startSeen(t *testing.T, r *registry, state string, see func(*Node), known ...string) (addr string, stop func()) {
+	t.Helper()
+	return startWith(t, r, state, nil, see, known...)
 }
 
 // startAltered is startNode with something changed in the configuration.
 func startAltered(
 	t *testing.T, r *registry, state string, alter func(*Config), known ...string,
+) (addr string, stop func()) {
+	t.Helper()
+	return startWith(t, r, state, alter, nil, known...)
+}
+
+func startWith(
+	t *testing.T, r *registry, state string, alter func(*Config), see func(*Node), known ...string,
 ) (addr string, stop func()) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -179,6 +192,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	if see != nil {
+		see(n)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- n.Run(ctx, ln) }()
