--- a/choice/checker_test.go
+++ b/choice/checker_test.go
@@ -319,6 +319,11 @@
 
 // randomStory plays thousands of steps of anything at all; the checker watches.
 func randomStory(t testing.TB, seed uint64, steps int) *story {
+	return interruptedStory(t, seed, steps, func(int, *story) {})
+}
+
+// interruptedStory is a randomStory with something done before each step.
+func interruptedStory(t testing.TB, seed uint64, steps int, between func(int, *story)) *story {
 	rng := rand.New(rand.NewPCG(seed, 1))
 	cfg := settings()
 	pick := func(p float64) bool { return rng.Float64() < p }
@@ -341,6 +346,7 @@
 	w.step(0, list(all...))
 	mood := map[string]float64{}
 	for n := range steps {
+		between(n, w)
 		var events []Event
 		for _, a := range w.flights() {
 			f := w.out[a]
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -84,8 +84,9 @@
 
 // New returns the decision maker of a delivery node that has just started.
 func New(cfg Settings, seed uint64) *Sender {
+	source := rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)
 	s := &Sender{
-		cfg: cfg, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
+		cfg: cfg, source: source, rng: rand.New(source),
 		dests: map[int]*destination{}, eps: map[string]*endpoint{}, msgs: map[string]*message{},
 		lines: map[string][]*message{}, rests: map[string]time.Duration{}, sent: map[attempt]sending{},
 		parted:  map[string]time.Duration{},
@@ -216,10 +217,7 @@
 func (s *Sender) take(e Arrived) (*message, *destination) {
 	d := s.destination(e.Dest)
 	d.came, d.cameAt = d.rate(s.now)*seconds(demandSpan)+1, s.now
-	class := &Class{}
-	if e.Class >= 0 && e.Class < len(s.cfg.Classes) {
-		class = &s.cfg.Classes[e.Class]
-	}
+	class := s.class(e.Class)
 	m := &message{
 		id: e.ID, class: class, dest: d, arrived: s.now, dropDead: e.DropDead, worth: class.Worth,
 		born: e.DropDead - class.Deadline,
--- /dev/null
+++ b/choice/saved.go
@@ -0,0 +1,347 @@
+package choice
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Saved is a sender between two steps, so that another process can go on where this one stopped. It knows the same
+// and acts the same from there on. The clock of both must be the same.
+//
+// The literals below have no field names on purpose: a field that is added to one of the types must be added here
+// as well, or this does not compile.
+type Saved struct {
+	Now      time.Duration
+	Random   []byte
+	Dests    []SavedDest
+	Active   []int          // places in Dests
+	Messages []SavedMessage // the open ones in their order, then those that are over and have an attempt out
+	Open     int
+	Lines    map[string][]int // places in Messages
+	Calls    []SavedCall
+	Rests    map[string]time.Duration
+	Resting  []SavedRest
+	Parted   map[string]time.Duration
+	Crowded  map[int]time.Duration
+	WornTil  time.Duration
+	Tenants  []SavedTenant
+	Made     uint64
+	Asking   time.Duration
+	AskAt    time.Duration
+	Failing  float64
+}
+
+// SavedRest is a keyRest.
+type SavedRest struct {
+	Key   string
+	Until time.Duration
+}
+
+// SavedTenant is a tenant.
+type SavedTenant struct {
+	Tokens float64
+	At     time.Duration
+}
+
+// SavedGate is a gate.
+type SavedGate struct {
+	Average, Baseline float64
+	At                time.Duration
+	Seen, Shut        bool
+}
+
+// SavedRoute is a route.
+type SavedRoute struct {
+	WaitUntil          time.Duration
+	Limit              float64
+	Reported           bool
+	Left, Weight, Part float64
+	PartAt             time.Duration
+	Tokens             float64
+	TokensAt           time.Duration
+	Fails              int
+	FailedAt, Rest     time.Duration
+	Sick, Harmless     bool
+	TrialAt, Backoff   time.Duration
+	Trial              bool
+	ColdFrom, StruckAt time.Duration
+	Demand             float64
+	Busiest, Passed    float64
+	PassedAt           time.Duration
+}
+
+// SavedEndpoint is an endpoint; Route is nil where its destination's is shared.
+type SavedEndpoint struct {
+	ID              string
+	Zone            int
+	Route           *SavedRoute
+	Ready           bool
+	Response, Usual float64
+	ProvenAt        time.Duration
+	SentAt          time.Duration
+	Gap             float64
+	CrowdedAt       time.Duration
+	Room            float64
+	ShyTil          time.Duration
+}
+
+// SavedDest is a destination. Behind its Listed endpoints stand those that have left the list and have calls out.
+type SavedDest struct {
+	ID        int
+	Emptied   time.Duration
+	Gate      SavedGate
+	Kind      int
+	Shared    SavedRoute
+	Endpoints []SavedEndpoint
+	Listed    int
+	Waiting   []int // places in Messages
+	Used      float64
+	UsedAt    time.Duration
+	LastTrial time.Duration
+	Came      float64
+	CameAt    time.Duration
+}
+
+// SavedMessage is a message.
+type SavedMessage struct {
+	ID           string
+	Class        int
+	Key          string
+	Worth        float64
+	Dest         int // place in Dests
+	Arrived      time.Duration
+	Born         time.Duration
+	Aim          time.Duration
+	DropDead     time.Duration
+	Attempts     int
+	MayRun       time.Duration
+	Touched      bool
+	Zone         int
+	NotBefore    time.Duration
+	Waits, Ended bool
+}
+
+// SavedCall is a call that is out.
+type SavedCall struct {
+	Dest, Endpoint            int // places in Dests and its Endpoints
+	SentAt                    time.Duration
+	Trial, Called, Repeatable bool
+	Sends                     []SavedSend
+}
+
+// SavedSend is one message of a call; Message is its place in Messages while its outcome is not known, or -1.
+type SavedSend struct {
+	ID      string
+	Attempt int
+	Message int
+}
+
+func (g gate) saved() SavedGate { return SavedGate{g.average, g.baseline, g.at, g.seen, g.shut} }
+
+func (g SavedGate) gate() gate { return gate{g.Average, g.Baseline, g.At, g.Seen, g.Shut} }
+
+func (r *route) saved() SavedRoute {
+	return SavedRoute{
+		r.waitUntil, r.limit, r.reported, r.left, r.weight, r.part, r.partAt, r.tokens, r.tokensAt, r.fails, r.failedAt, r.rest,
+		r.sick, r.harmless, r.trialAt, r.backoff, r.trial, r.coldFrom, r.struckAt, r.demand, r.busiest, r.passed, r.passedAt,
+	}
+}
+
+func (r SavedRoute) route() *route {
+	return &route{
+		r.WaitUntil, r.Limit, r.Reported, r.Left, r.Weight, r.Part, r.PartAt, r.Tokens, r.TokensAt, r.Fails, r.FailedAt, r.Rest,
+		r.Sick, r.Harmless, r.TrialAt, r.Backoff, r.Trial, r.ColdFrom, r.StruckAt, r.Demand, r.Busiest, r.Passed, r.PassedAt,
+	}
+}
+
+func (e *endpoint) saved() SavedEndpoint {
+	var own *SavedRoute
+	if e.route != e.dest.shared {
+		r := e.route.saved()
+		own = &r
+	}
+	return SavedEndpoint{
+		e.id, e.zone, own, e.ready, e.response, e.usual, e.provenAt, e.sentAt, e.gap, e.crowdedAt, e.room, e.shyTil,
+	}
+}
+
+func (e SavedEndpoint) endpoint(d *destination) *endpoint {
+	r := d.shared
+	if e.Route != nil {
+		r = e.Route.route()
+	}
+	return &endpoint{
+		e.ID, e.Zone, d, r, e.Ready, e.Response, e.Usual, e.ProvenAt, e.SentAt, e.Gap, 0, e.CrowdedAt, e.Room, e.ShyTil,
+	}
+}
+
+// Save returns the state of a sender. Wakes that it asked for and its leaving are not part of it.
+func (s *Sender) Save() (Saved, error) {
+	random, err := s.source.MarshalBinary()
+	if err != nil {
+		return Saved{}, err
+	}
+	v := Saved{
+		Now: s.now, Random: random, Lines: map[string][]int{}, Rests: s.rests, Parted: s.parted, Crowded: s.crowded,
+		WornTil: s.wornTil, Made: s.made, Asking: s.asking, AskAt: s.askAt, Failing: s.failing,
+	}
+	for _, t := range s.tenants {
+		v.Tenants = append(v.Tenants, SavedTenant{t.tokens, t.at})
+	}
+	for _, k := range s.resting {
+		v.Resting = append(v.Resting, SavedRest{k.key, k.until})
+	}
+	dests, eps, messages := map[*destination]int{}, map[*endpoint]int{}, map[*message]int{}
+	for i, d := range s.order {
+		dests[d] = i
+		all := SavedDest{
+			d.id, d.emptied, d.gate.saved(), d.kind, d.shared.saved(), nil, len(d.endpoints), nil, d.used, d.usedAt, d.lastTrial,
+			d.came, d.cameAt,
+		}
+		put := func(e *endpoint) {
+			if _, there := eps[e]; !there {
+				eps[e] = len(all.Endpoints)
+				all.Endpoints = append(all.Endpoints, e.saved())
+			}
+		}
+		for _, e := range d.endpoints {
+			put(e)
+		}
+		for _, c := range d.calls {
+			put(c.ep)
+		}
+		v.Dests = append(v.Dests, all)
+	}
+	class := map[*Class]int{}
+	for i := range s.cfg.Classes {
+		class[&s.cfg.Classes[i]] = i
+	}
+	put := func(m *message) {
+		if _, there := messages[m]; there {
+			return
+		}
+		messages[m] = len(v.Messages)
+		c, ok := class[m.class]
+		if !ok {
+			c = -1
+		}
+		v.Messages = append(v.Messages, SavedMessage{
+			m.id, c, m.key, m.worth, dests[m.dest], m.arrived, m.born, m.aim, m.dropDead, m.attempts, m.mayRun, m.touched, m.zone,
+			m.notBefore, m.waits, m.over,
+		})
+	}
+	for _, m := range s.open {
+		put(m)
+	}
+	v.Open = len(v.Messages)
+	for _, d := range s.order {
+		for _, c := range d.calls {
+			one := SavedCall{dests[d], eps[c.ep], c.sentAt, c.trial, c.called, c.repeatable, nil}
+			for _, a := range c.sends {
+				place := -1
+				if out := s.sent[a]; out.c == c {
+					put(out.m)
+					place = messages[out.m]
+				}
+				one.Sends = append(one.Sends, SavedSend{a.id, a.n, place})
+			}
+			v.Calls = append(v.Calls, one)
+		}
+		for _, m := range d.waiting {
+			v.Dests[dests[d]].Waiting = append(v.Dests[dests[d]].Waiting, messages[m])
+		}
+	}
+	for key, line := range s.lines {
+		for _, m := range line {
+			put(m)
+			v.Lines[key] = append(v.Lines[key], messages[m])
+		}
+	}
+	for _, d := range s.active {
+		v.Active = append(v.Active, dests[d])
+	}
+	return v, nil
+}
+
+// Restore returns a sender that goes on where a saved one stopped.
+func Restore(cfg Settings, v Saved) (*Sender, error) {
+	s := New(cfg, 0)
+	if err := s.source.UnmarshalBinary(v.Random); err != nil {
+		return nil, err
+	}
+	s.rng = rand.New(s.source)
+	s.now, s.wornTil, s.made, s.asking, s.askAt, s.failing = v.Now, v.WornTil, v.Made, v.Asking, v.AskAt, v.Failing
+	restore(s.rests, v.Rests)
+	restore(s.parted, v.Parted)
+	restore(s.crowded, v.Crowded)
+	for i, t := range v.Tenants[:min(len(v.Tenants), len(s.tenants))] {
+		s.tenants[i] = tenant{t.Tokens, t.At}
+	}
+	for _, k := range v.Resting {
+		s.resting = append(s.resting, keyRest{k.Key, k.Until})
+	}
+	eps := make([][]*endpoint, len(v.Dests))
+	for i, d := range v.Dests {
+		at := &destination{
+			d.ID, d.Emptied, d.Gate.gate(), d.Kind, d.Shared.route(), nil, nil, d.Used, d.UsedAt, nil, d.LastTrial, d.Came, d.CameAt, false,
+		}
+		s.dests[d.ID], s.order = at, append(s.order, at)
+		for n, e := range d.Endpoints {
+			one := e.endpoint(at)
+			eps[i] = append(eps[i], one)
+			if n < d.Listed {
+				at.endpoints = append(at.endpoints, one)
+				s.eps[one.id] = one
+			}
+		}
+	}
+	all := make([]*message, len(v.Messages))
+	for i, m := range v.Messages {
+		all[i] = &message{
+			m.ID, s.class(m.Class), m.Key, m.Worth, s.order[m.Dest], m.Arrived, m.Born, m.Aim, m.DropDead, m.Attempts, 0, m.MayRun,
+			m.Touched, m.Zone, m.NotBefore, m.Waits, m.Ended,
+		}
+		if !m.Ended {
+			s.msgs[m.ID] = all[i]
+		}
+	}
+	s.open = append(s.open, all[:v.Open]...)
+	for i, d := range v.Dests {
+		for _, m := range d.Waiting {
+			s.order[i].waiting = append(s.order[i].waiting, all[m])
+		}
+	}
+	for key, line := range v.Lines {
+		for _, m := range line {
+			s.lines[key] = append(s.lines[key], all[m])
+		}
+	}
+	for _, o := range v.Calls {
+		c := &call{eps[o.Dest][o.Endpoint], o.SentAt, 0, o.Trial, nil, o.Called, o.Repeatable}
+		for _, a := range o.Sends {
+			c.sends = append(c.sends, attempt{a.ID, a.Attempt})
+			if a.Message >= 0 {
+				c.left++
+				all[a.Message].out++
+				s.sent[attempt{a.ID, a.Attempt}] = sending{all[a.Message], c}
+			}
+		}
+		c.ep.dest.calls = append(c.ep.dest.calls, c)
+		c.ep.out++
+		s.busy++
+	}
+	for _, i := range v.Active {
+		s.order[i].active = true
+		s.active = append(s.active, s.order[i])
+	}
+	return s, nil
+}
+
+func restore[K comparable](into, from map[K]time.Duration) {
+	for k, v := range from {
+		into[k] = v
+	}
+}
+
+// Holds tells that a message is open.
+func (s *Sender) Holds(id string) bool { return s.msgs[id] != nil }
--- /dev/null
+++ b/choice/saved_test.go
@@ -0,0 +1,61 @@
+package choice
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// handedOver is a sender after its way to another process.
+func handedOver(t testing.TB, s *Sender, cfg Settings) *Sender {
+	t.Helper()
+	saved, err := s.Save()
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := json.Marshal(saved)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var come Saved
+	if err := json.Unmarshal(text, &come); err != nil {
+		t.Fatal(err)
+	}
+	heir, err := Restore(cfg, come)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return heir
+}
+
+// A sender that is handed over every few steps, calls out and all, acts as one that never was.
+func TestHandedOverActsTheSame(t *testing.T) {
+	acts := func(w *story) []string {
+		return slices.DeleteFunc(w.log, func(line string) bool { return strings.Contains(line, "Wake") })
+	}
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			out := 0
+			moved := interruptedStory(t, seed, 1500, func(n int, w *story) {
+				if n%7 == 3 {
+					w.s = handedOver(t, w.s, w.cfg)
+					out += len(w.s.sent)
+				}
+			})
+			want, got := acts(randomStory(t, seed, 1500)), acts(moved)
+			if len(got) == 0 || (out == 0 && moved.cfg.MaxOpen > 10) {
+				t.Fatal("the story tests nothing")
+			}
+			for i := range min(len(want), len(got)) {
+				if want[i] != got[i] {
+					t.Fatalf("action %d is %s, want %s", i, got[i], want[i])
+				}
+			}
+			if len(want) != len(got) {
+				t.Errorf("%d actions, want %d", len(got), len(want))
+			}
+		})
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -10,7 +10,8 @@
 // Sender decides for one delivery node.
 type Sender struct {
 	cfg     Settings
-	rng     *rand.Rand
+	source  *rand.PCG
+	rng     *rand.Rand // draws from source
 	now     time.Duration
 	dests   map[int]*destination
 	order   []*destination // in order of first mention, so that nothing hangs on map order
@@ -256,6 +257,14 @@
 	}
 }
 
+// class is the class of that number, one without any bounds for a number that is not known.
+func (s *Sender) class(i int) *Class {
+	if i < 0 || i >= len(s.cfg.Classes) {
+		return &Class{}
+	}
+	return &s.cfg.Classes[i]
+}
+
 // apart tells that the endpoints are routes of their own.
 func (s *Sender) apart(d *destination) bool {
 	return d.kind >= 0 && d.kind < len(s.cfg.Kinds) && s.cfg.Kinds[d.kind].Apart
