Make the test of maintenance fail without the ban after a restart

With 25 messages and a look at what the module avoids it fails without either of the two, the ban in the network code and the event to the module.

--- a/internal/node/admin_test.go
+++ b/internal/node/admin_test.go
@@ -214,7 +214,7 @@
 	}
 	say("e1", "disable", http.StatusServiceUnavailable) // nobody there yet
 	number := 0
-	// deliver hands in messages one by one until the first endpoint has had what it should, at least five in all.
+	// deliver hands in messages one by one until the first endpoint has had what it should, and 25 at least.
 	deliver := func(addr string, want bool) {
 		t.Helper()
 		before, _ := first.counts()
@@ -227,7 +227,7 @@
 			case <-time.After(patience):
 				t.Fatal("no call came")
 			}
-			if now, _ := first.counts(); i >= 5 && (now > before || !want) {
+			if now, _ := first.counts(); i >= 25 && (now > before || !want) {
 				if now > before && !want {
 					t.Errorf("%d calls to the endpoint that is left out", now-before)
 				}
@@ -265,6 +265,9 @@
 	}
 	three := begin(t, r, state, "", both...)
 	a.node.Store(three.n)
+	if got := three.n.figures.avoided.Load(); got != 1 {
+		t.Errorf("after a restart the module avoids %d", got)
+	}
 	deliver(three.addr, false)
 	say("e1", "enable", http.StatusOK)
 	deliver(three.addr, true)
