Asks that discovery refuses come apart, by the size of the fleet

Ruled out: a watch that we give up too early (the 503 comes first), a plain list instead of a watch (refused alike), the agent being away (it answers).

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -26,7 +26,12 @@
 	watchSilence = 2500 * time.Millisecond
 	// For so long another server is given to catch up with what was told; then its revisions are taken to count
 	// something else. What changes counts as told 4 s after a move.
-	catchUpTime  = 2 * time.Second
+	catchUpTime = 2 * time.Second
+	// A discovery that cuts watches or refuses asks has more of them than it can answer, and most nodes of the fleet
+	// ask again then. Between them that should be some asks a second: with pauses of a second or two for each node
+	// the asks alone kept it so for good. Told of a change a node counts as some seconds later in any case.
+	askEvery     = 200 * time.Millisecond // of all nodes together
+	longestAsk   = 20 * time.Second
 	firstBackoff = 50 * time.Millisecond
 	lastBackoff  = 2 * time.Second
 )
@@ -90,6 +95,14 @@
 	return time.Duration(*b)/2 + rand.N(time.Duration(*b)/2)
 }
 
+// apart is a pause for one of so many nodes that were refused together: it doubles, and differs from node to node by a
+// factor of three.
+func (b *backoff) apart(nodes int) time.Duration {
+	first := backoff(nodes) * backoff(askEvery)
+	*b = min(max(2**b, first), max(8*first, backoff(lastBackoff)), backoff(longestAsk))
+	return time.Duration(*b)/2 + rand.N(time.Duration(*b))
+}
+
 // sleep waits, and tells whether the context is still alive after it.
 func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
@@ -105,10 +118,15 @@
 // errBehind says that a server has not yet been sent what another one has told.
 var errBehind = errors.New("the list is older than what was told before")
 
+// errRefused says that a server had no room for the ask.
+var errRefused = errors.New("refused")
+
 // watch follows discovery until the context ends, and hands each list on. One that is not taken ends its watch,
 // and is asked for again.
-func watch(ctx context.Context, log *slog.Logger, client *http.Client, addr string, after int64, tell func(list) error) {
-	var pause backoff
+func watch(
+	ctx context.Context, log *slog.Logger, client *http.Client, addr string, nodes int, after int64, tell func(list) error,
+) {
+	var pause, refused backoff
 	for ctx.Err() == nil {
 		first := true
 		err := watchOnce(ctx, client, addr, after, func(l list) error {
@@ -119,12 +137,19 @@
 			if err := tell(l); err != nil {
 				return err
 			}
-			after, pause, first = l.Revision, 0, false
+			after, pause, refused, first = l.Revision, 0, 0, false
 			return nil
 		})
 		if ctx.Err() == nil {
 			log.Debug("watch ended", "err", err)
-			sleep(ctx, pause.next())
+			wait := pause.next()
+			switch {
+			case errors.Is(err, errRefused):
+				wait = refused.apart(nodes)
+			case !first: // it was cut, and the others' with it
+				wait = rand.N(time.Duration(nodes) * askEvery)
+			}
+			sleep(ctx, wait)
 		}
 	}
 }
@@ -145,6 +170,9 @@
 		return err
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests {
+		return fmt.Errorf("watch: %w: %s", errRefused, resp.Status)
+	}
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("watch: %s", resp.Status)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -273,7 +273,7 @@
 		client := &http.Client{Transport: transport}
 		at, from := addr, after // those below change while the parts begin
 		var parts sync.WaitGroup
-		parts.Go(func() { watch(here, n.log, client, at, from, tell) })
+		parts.Go(func() { watch(here, n.log, client, at, max(n.cfg.Settings.Fleet, 1), from, tell) })
 		parts.Go(func() {
 			unanswered = report(here, n.log, client, at, unanswered, n.notices, func(b []notice) { n.tell(ctx, settled(b)) })
 		})
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -365,7 +365,7 @@
 	defer cancel()
 	var ended sync.WaitGroup
 	ended.Go(func() {
-		watch(ctx, slog.New(slog.DiscardHandler), srv.Client(), srv.Listener.Addr().String(), 0, func(list) error { return nil })
+		watch(ctx, slog.New(slog.DiscardHandler), srv.Client(), srv.Listener.Addr().String(), 1, 0, func(list) error { return nil })
 	})
 	<-watches
 	if again := <-watches; again > 8*time.Second {
