A part of a limit that was cut comes back to a rare sender with time

It only grew as calls passed, a second's worth for each.

TestRareSenderIsNotStarvedByARefusal fails without it.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -57,6 +57,7 @@
 	// Pacing.
 	partCut     = 0.5                    // factor on this sender's part at a refusal over the limit
 	partGrow    = 0.25                   // growth a second while calls pass, of the part or an even share
+	rareShare   = 0.5                    // calls a second; an even share of less makes a rare sender
 	demandSpan  = 10 * time.Second       // this sender's own demand is what arrived of late
 	burstSpan   = 0.25                   // seconds of pace that may go at once
 	refusedRest = 120 * time.Millisecond // first rest after a refusal that told no wait
@@ -706,11 +707,7 @@
 		r.passed, r.passedAt = 0, s.now
 	}
 	r.passed++
-	// A rare sender's part would never come back in steps of a second; it grows by its whole pause where the
-	// destination tells that there is room.
-	most := max(1, r.left*seconds(demandSpan))
-	r.part = min(1, r.part+partGrow*max(r.part, 1/float64(s.cfg.Fleet))*min(most, seconds(s.now-r.partAt)))
-	r.partAt = s.now
+	s.grow(r, true)
 	switch {
 	case r.sick:
 		r.sick, r.coldFrom = false, s.now
@@ -767,8 +764,28 @@
 	return d.came * math.Exp(-seconds(now-d.cameAt)/seconds(demandSpan)) / seconds(demandSpan)
 }
 
+// grow gives back a part that was cut, while calls pass. Of a large fleet each sender has few calls:
+// there a part that was cut to less than a call in several seconds never came back, and messages waited
+// for all their time at a destination that had room. So it grows with the time there, and by the whole
+// pause where the destination tells that there is room.
+func (s *Sender) grow(r *route, passed bool) {
+	rare := s.limit(r) < rareShare*float64(s.cfg.Fleet)
+	if !passed && !rare {
+		return
+	}
+	gap := seconds(s.now - r.partAt)
+	if !rare {
+		gap = min(gap, max(1, r.left*seconds(demandSpan)))
+	}
+	r.part = min(1, r.part+partGrow*max(r.part, 1/float64(s.cfg.Fleet))*min(gap, seconds(demandSpan)))
+	r.partAt = s.now
+}
+
 // refill brings the token bucket up to now. On the way back from an outage nothing is saved up for a burst.
 func (s *Sender) refill(r *route) {
+	if !r.recovering() {
+		s.grow(r, false)
+	}
 	rate, bound := s.pace(r)
 	if !bound {
 		r.tokens, r.tokensAt = 1, s.now
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -565,6 +565,25 @@
 	w.finish()
 }
 
+// In a large fleet a part that was cut is soon given back, though hardly a call passes meanwhile: messages waited for all
+// their time at a destination that had room.
+func TestRareSenderIsNotStarvedByARefusal(t *testing.T) {
+	cfg := settings()
+	cfg.Fleet = 36
+	w := newStory(t, cfg, 1)
+	w.step(0, list(Entry{Endpoint: "a", Weight: 5}))
+	w.step(5*ms, w.arrive("refused", 0, 0))
+	w.step(50*ms, w.outcome("refused", NoRoom, 0))
+	for w.out[attempt{"refused", 1}] == nil {
+		w.step(20*ms, Rang{})
+		if w.now > time.Hour+5*time.Second {
+			t.Fatal("no second call in five seconds")
+		}
+	}
+	w.step(50*ms, w.outcome("refused", Pass, 0))
+	w.finish()
+}
+
 // A hung destination's queue fills, and it refuses: where no limit is told, a run of refusals is an outage.
 func TestRefusalsWithoutALimitAreAnOutage(t *testing.T) {
 	w := newStory(t, settings(), 1)
