Hand on a list's revision only with the discovery that counts so

Found by reading: after a SIGHUP the old process could hand on the revision of the server it had left, and the new one would have missed changes at the next. TestHandoverHalfDone looks at what is handed on.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -41,6 +41,8 @@
 	Revision int64    `json:"revision"`
 	Complete bool     `json:"complete"`
 	Members  []member `json:"members"`
+
+	from string // the address that told it, whose Revision it is
 }
 
 type member struct {
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -56,14 +56,14 @@
 
 // legacy is all that a node knows and the journal does not tell.
 type legacy struct {
-	Clock     time.Duration // the module's, at the wall clock's At
-	At        time.Time
-	Sender    choice.Saved
-	Discovery string
-	Revision  int64
-	Members   []member
-	Waits     map[string]int64 // by endpoint; those of one destination share it
-	Out       []outState
+	Clock    time.Duration // the module's, at the wall clock's At
+	At       time.Time
+	Sender   choice.Saved
+	Revision int64
+	ToldBy   string // the discovery that counts so
+	Members  []member
+	Waits    map[string]int64 // by endpoint; those of one destination share it
+	Out      []outState
 }
 
 // outState names an attempt that is out, and of its message what is needed once the journal has forgotten it.
@@ -430,7 +430,7 @@
 	n.sender, n.forebear = sender, l
 	n.start = time.Now().Add(epoch - from.Clock - time.Since(from.At))
 	n.cfg.Known = list{Revision: from.Revision, Complete: true, Members: from.Members}
-	if from.Discovery != n.cfg.Discovery {
+	if from.ToldBy != n.cfg.Discovery {
 		n.cfg.Known.Revision = 0 // another server's revisions count something else
 	}
 	n.listed(n.cfg.Known) // the module has it already
@@ -559,7 +559,7 @@
 		return fmt.Errorf("handover: %w", err)
 	}
 	from := legacy{
-		Clock: n.now(), At: time.Now(), Sender: saved, Discovery: *n.discovery.Load(), Revision: n.revision,
+		Clock: n.now(), At: time.Now(), Sender: saved, ToldBy: n.toldBy, Revision: n.revision,
 		Members: slices.Collect(maps.Values(n.members)), Waits: map[string]int64{},
 	}
 	for id, e := range n.eps {
--- a/internal/node/handover_test.go
+++ b/internal/node/handover_test.go
@@ -125,7 +125,7 @@
 }
 
 // knock asks a node for itself, by hand, as far as the old process's offer.
-func knock(t *testing.T, state string) *link {
+func knock(t *testing.T, state string) (*link, *legacy) {
 	t.Helper()
 	conn, err := dialDoor(door(state))
 	if err != nil {
@@ -141,10 +141,11 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { ln.Close() })
-	if m, err := l.receive(); err != nil || m.Legacy == nil {
+	m, err := l.receive()
+	if err != nil || m.Legacy == nil {
 		t.Fatalf("no legacy: %v", err)
 	}
-	return l
+	return l, m.Legacy
 }
 
 // One that asks and dies before it has the node changes nothing.
@@ -152,7 +153,13 @@
 	t.Parallel()
 	p, r, state := newPartner(t, says(delivered)), newRegistry(t), t.TempDir()
 	old := begin(t, r, state, "", serving("e", p.addr(), 7, "SERVING"))
-	knock(t, state).conn.Close()
+	r.tell(listOf(2, false, serving("new", p.addr(), 8, "SERVING")))
+	eventually(t, "the list", func() bool { return old.n.figures.listed.Load() == 2 })
+	l, had := knock(t, state)
+	l.conn.Close()
+	if had.Revision != 2 || had.ToldBy != r.addr() || len(had.Members) != 2 {
+		t.Errorf("discovery's news stands at %d of %s, %d listed", had.Revision, had.ToldBy, len(had.Members))
+	}
 	mustAnswer(t, old.addr, enqueue("a", ofStatus, "x"), "+OK")
 	p.next(t)
 	stranger, err := dialDoor(door(state)) // of another version
@@ -180,7 +187,7 @@
 	p.next(t)
 	mustAnswer(t, old.addr, enqueue("notice", ofStatus, "x"), "+OK")
 	p.next(t)
-	heir := knock(t, state)
+	heir, _ := knock(t, state)
 	if err := heir.send(message{Ready: true}); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -68,9 +68,9 @@
 	wakeAt   time.Duration // of the module; 0 none
 	calls    sync.WaitGroup
 
-	members   map[string]member // the list, as discovery last told it
-	revision  int64
-	discovery atomic.Pointer[string] // whom consult asks; shared
+	members  map[string]member // the list, as discovery last told it
+	revision int64
+	toldBy   string // whose revision that is
 
 	// For the way from one process to the next; see handover.go.
 	ln       net.Listener
@@ -121,16 +121,14 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{
+	return &Node{
 		cfg: cfg, log: log, journal: j, sender: choice.New(cfg.Settings, seed(cfg.Seed)), start: time.Now(),
 		pool:   newPool(cfg.Settings.DialTimeout, cfg.Settings.ConnIdle, max(cfg.Limits.Sockets/4, 8)),
 		events: make(chan any, eventQueue), orders: make(chan order), notices: make(chan []notice), moves: make(chan string),
 		over: make(chan struct{}), messages: map[string]*past{},
 		out: map[attempt]outCall{}, eps: map[string]*endpoint{}, waits: map[int]*atomic.Int64{},
 		figures: newFigures(cfg.Names.Classes), members: map[string]member{}, heirs: make(chan *link),
-	}
-	n.discovery.Store(&n.cfg.Discovery)
-	return n, nil
+	}, nil
 }
 
 // Unready tells why the node is not ready to serve, "" if it is. It may be called at any time.
@@ -256,7 +254,7 @@
 // server is asked for all it has, so that nothing is lost; while its list is older than what was told, it is not
 // taken, or a drain could be undone. Notices that were not answered go to the new address.
 func (n *Node) consult(ctx context.Context) {
-	addr, after := *n.discovery.Load(), n.cfg.Known.Revision
+	addr, after := n.cfg.Discovery, n.cfg.Known.Revision
 	newest, caughtUp := after, time.Now() // only the watch, of which there is one at a time, uses them
 	tell := func(l list) error {
 		if l.Revision < newest && time.Now().Before(caughtUp) {
@@ -266,6 +264,7 @@
 		n.tell(ctx, l)
 		return nil
 	}
+	nodes := max(n.cfg.Settings.Fleet, 1)
 	var unanswered []notice
 	for ctx.Err() == nil {
 		here, leave := context.WithCancel(ctx)
@@ -273,7 +272,12 @@
 		client := &http.Client{Transport: transport}
 		at, from := addr, after // those below change while the parts begin
 		var parts sync.WaitGroup
-		parts.Go(func() { watch(here, n.log, client, at, max(n.cfg.Settings.Fleet, 1), from, tell) })
+		parts.Go(func() {
+			watch(here, n.log, client, at, nodes, from, func(l list) error {
+				l.from = at
+				return tell(l)
+			})
+		})
 		parts.Go(func() {
 			unanswered = report(here, n.log, client, at, unanswered, n.notices, func(b []notice) { n.tell(ctx, settled(b)) })
 		})
@@ -282,7 +286,6 @@
 			case to := <-n.moves:
 				if to != addr {
 					n.log.Info("discovery moves", "to", to)
-					n.discovery.Store(&to)
 					addr, after, stay = to, 0, false
 				}
 			case <-ctx.Done():
@@ -454,7 +457,7 @@
 	for _, e := range batch {
 		switch e := e.(type) {
 		case list:
-			n.revision = e.Revision
+			n.revision, n.toldBy = e.Revision, e.from
 			events = append(events, n.listed(e))
 		case outcomeOf:
 			events = append(events, n.elsewhere(e)...)
