A wait told to the new process holds back what the old one has not begun

Found by reading: of a wait that was told after a handover the old process's calls that still dialled did not hear. TestWaitReachesTheOldProcess fails without the message.

--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -52,6 +52,7 @@
 	Answer  *reply     // to an Ask or an Order
 	Cancel  *outState  // the new process calls an attempt off
 	Shut    string     // an endpoint that calls that have not begun must not go to
+	Wait    *waitOf    // that the new process was told
 }
 
 // legacy is all that a node knows and the journal does not tell.
@@ -87,6 +88,11 @@
 	HungUp   bool
 }
 
+type waitOf struct {
+	Endpoint string
+	Wait     time.Duration
+}
+
 type fateOf struct {
 	Outcome choice.Outcome
 	Closed  bool
@@ -698,6 +704,10 @@
 				}
 			case e.Shut != "":
 				n.shut(n.eps[e.Shut])
+			case e.Wait != nil:
+				if ep := n.eps[e.Wait.Endpoint]; ep != nil {
+					called{endpoint: ep, result: result{wait: e.Wait.Wait}}.heed()
+				}
 			}
 		}
 	}
--- a/internal/node/handover_test.go
+++ b/internal/node/handover_test.go
@@ -234,6 +234,29 @@
 	}
 }
 
+// A wait that the new process is told holds back what the old one has not begun to write.
+func TestWaitReachesTheOldProcess(t *testing.T) {
+	t.Parallel()
+	p := newPartner(t, func(nc net.Conn, req *http.Request) bool {
+		if req.Header.Get("X-Trace-Id") == "told" {
+			return says("HTTP/1.1 429 No\r\nRetry-After: 60\r\nContent-Length: 0\r\n\r\n")(nc, req)
+		}
+		return silent(nc, req)
+	})
+	r, state := newRegistry(t), t.TempDir()
+	old := begin(t, r, state, "", serving("e", p.addr(), 7, "SERVING"))
+	mustAnswer(t, old.addr, enqueue("out", ofPayout, "x"), "+OK")
+	p.next(t)
+	young := begin(t, r, state, old.addr)
+	eventually(t, "handed over", func() bool { return old.n.Unready() == stages[handedOver] })
+	e := old.n.eps["e"]
+	if e.closedTo(time.Now()) {
+		t.Fatal("closed before anything was told")
+	}
+	mustAnswer(t, young.addr, enqueue("told", ofStatus, "x"), "+OK")
+	eventually(t, "the wait", func() bool { return e.closedTo(time.Now()) })
+}
+
 // A build that knows no lock has the clients' address: the journal is left alone until that is free.
 func TestStartWaitsForAnOlderBuild(t *testing.T) {
 	t.Parallel()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -669,6 +669,9 @@
 // called notes the outcome of a call for each of its messages. Without a record of it, the attempt may have run.
 func (n *Node) called(e called) []choice.Event {
 	e.heed()
+	if e.wait > 0 && n.forebear != nil {
+		n.forebear.send(message{Wait: &waitOf{e.endpoint.id, e.wait}})
+	}
 	events := make([]choice.Event, 0, len(e.attempts))
 	for i, name := range e.attempts {
 		m, fate := n.out[name].m, e.of(i)
