--- a/internal/node/admin_test.go
+++ b/internal/node/admin_test.go
@@ -167,34 +167,74 @@
 	}
 }
 
-// Callers that hold their connections with no whole call, be they many, shut nobody out, and give way oldest first.
+// Callers that hold their connections with no whole call, be they many, shut nobody out, and give way oldest first. Those
+// that are being answered do not.
 func TestSilentCallersShutNobodyOut(t *testing.T) {
 	t.Parallel()
-	_, addr := openAdmin(t, 64) // four connections
-	gone := make(chan error, 20)
-	for i := range 20 {
-		nc, err := net.Dial("tcp", addr)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &callers{Listener: ln, most: 4, open: map[*caller]bool{}}
+	defer l.Close()
+	in := make(chan net.Conn, 100)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			in <- c
+		}
+	}()
+	gone := make(chan int, 100)
+	dial := func(i int) {
+		nc, err := net.Dial("tcp", ln.Addr().String())
 		if err != nil {
 			t.Fatal(err)
 		}
-		defer nc.Close()
-		if i%2 == 0 {
-			io.WriteString(nc, "GET /-/re")
-		}
+		t.Cleanup(func() { nc.Close() })
 		go func() {
-			_, err := io.ReadAll(nc)
-			gone <- err
+			io.Copy(io.Discard, nc)
+			gone <- i
 		}()
 	}
-	for range 16 { // long before any time-out makes room
+	left := map[int]bool{}
+	var last []net.Conn
+	for i := range 20 {
+		dial(i)
+		select {
+		case c := <-in:
+			last = append(last, c)
+		case <-time.After(patience):
+			t.Fatalf("caller %d is shut out", i)
+		}
+		left[i] = true
+	}
+	for range 16 {
 		select {
-		case <-gone:
-		case <-time.After(adminHeaderTimeout / 2):
-			t.Fatal("the oldest hold on to their connections")
+		case i := <-gone:
+			delete(left, i)
+		case <-time.After(patience):
+			t.Fatalf("these hold on to their connections: %v", left)
 		}
 	}
-	if code, _ := adminCall(t, addr, "GET", "/-/ready"); code != http.StatusServiceUnavailable {
-		t.Errorf("got %d", code)
+	for i := 16; i < 20; i++ {
+		if !left[i] {
+			t.Errorf("%d went before its turn", i)
+		}
+		last[i].(*caller).called()
+	}
+	dial(20)
+	if i := <-gone; i != 20 {
+		t.Errorf("%d went while it was being answered", i)
+	}
+	last[16].Close()
+	dial(21)
+	select {
+	case <-in:
+	case <-time.After(patience):
+		t.Error("the place that one left is not given to the next")
 	}
 }
 
