Pace each node by its own share of the fleet's traffic, and cut below it when refused

Refused calls use up the limit, so a fleet at the limit gets nothing.

At fault: cut's floor of half an even share, which sums to half the limit; grow, which gave a rare sender back between two of its calls as much as a refusal cut, so that refusals of everybody were a steady state; and growth by calls that passed, which drove the parts apart: at 25 s half the nodes held 0.06 to 0.4 of their share with 10 to 20 messages waiting, the others 1.2 to 4.9 with none.

Tried and left out: growth by passes, smaller cuts with faster growth.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -54,10 +54,18 @@
 	sendCharge = 10 * time.Millisecond  // slot time booked at once, so that sends of one moment take turns
 	slowShare  = 0.4                    // share of the slots that all slow destinations together may hold
 
-	// Pacing.
-	partCut     = 0.5                    // factor on this sender's part at a refusal over the limit
-	partGrow    = 0.25                   // growth a second while calls pass, of the part or an even share
-	rareShare   = 0.5                    // calls a second; an even share of less makes a rare sender
+	// Pacing. Parts are in shares of the weight.
+	partCut     = 0.6  // factor on this sender's part at a refusal, once more for each in a row
+	partLeast   = 0.05 // is never cut
+	partGrow    = 0.02 // growth in the time of a call at the own share, while calls pass,
+	partStay    = 0.1  // and its logarithm after a refusal, less than what the next one cuts
+	partFirst   = 2.0  // more than the own share at first, for thin traffic is uneven,
+	partMost    = 4.0  // and at most; depthMost calls may go at once
+	depthMost   = 3.0
+	batchMost   = 0.9                    // where what waits travels together the own share costs little
+	weightSpan  = 30 * time.Second       // the weight is what arrived for the first time in so long,
+	weightPrior = 3.0                    // with so many seconds of an even share before the start
+	firstSpan   = 300 * time.Millisecond // a message younger than this comes for the first time
 	demandSpan  = 10 * time.Second       // this sender's own demand is what arrived of late
 	burstSpan   = 0.25                   // seconds of pace that may go at once
 	refusedRest = 120 * time.Millisecond // first rest after a refusal that told no wait
@@ -103,6 +111,9 @@
 // Step takes the events of a moment and returns what to do about them, in order.
 func (s *Sender) Step(now time.Duration, events []Event) []Action {
 	s.now, s.actions = now, nil
+	if s.cameAt == 0 {
+		s.cameAt = now // the clock starts anywhere
+	}
 	// Lists and bans first: a drain acts in the step that told of it, whatever stands before it in the batch.
 	for _, e := range events {
 		switch e := e.(type) {
@@ -193,6 +204,9 @@
 				e.route = newRoute()
 				e.route.waitUntil = s.parted[e.id] // the only thing that outlasts a route's leaving
 			}
+			if s.batch(d) > 1 {
+				e.route.most, e.route.part = batchMost, min(e.route.part, batchMost)
+			}
 		}
 		e.listed = entry.Phase == Ready
 		e.ready = e.listed && !s.barred[e.id]
@@ -224,7 +238,7 @@
 	}
 }
 
-func newRoute() *route { return &route{part: 1, tokens: 1} }
+func newRoute() *route { return &route{part: partFirst, most: partMost, tokens: 1} }
 
 // arrived admits a message or refuses it at once.
 func (s *Sender) arrived(e Arrived) {
@@ -252,6 +266,10 @@
 	if !s.inShare(e.Tenant) {
 		m.worth *= s.cfg.OverShareWorth
 	}
+	if s.now-m.born < firstSpan {
+		fade := math.Exp(-seconds(s.now-s.cameAt) / seconds(weightSpan))
+		s.seen, s.came, s.cameAt = s.seen*fade+seconds(weightSpan)*(1-fade), s.came*fade+1, s.now
+	}
 	s.msgs[m.id] = m
 	return m, d
 }
@@ -583,7 +601,7 @@
 		if shut := e.Wait > shutWait; shut || stuck || r.sick {
 			s.failure(ep, shut, true)
 		} else {
-			s.cut(ep.dest, r)
+			s.cut(c)
 		}
 	default:
 		s.failed(ep, took, e.Outcome == NoRoute)
@@ -631,15 +649,18 @@
 	}
 }
 
-// cut lowers this sender's part of the limit at a refusal. It knows its part by its own demand: whatever it
-// was, it falls to that at once and is halved from there, for where refused calls use up the limit, a fleet
-// that goes on asking gets nothing. The next call comes at any moment of the new pace, lest all come at once.
-func (s *Sender) cut(d *destination, r *route) {
-	if limit := s.limit(r); limit > 0 {
-		r.part = min(r.part, 2*d.rate(s.now)/limit)
+// cut lowers this sender's part of the limit at a refusal: below its own share at once, and ever deeper
+// with refusals in a row, for where refused calls use up the limit, a fleet that goes on asking gets nothing.
+// The next call comes at any moment of the new pace, lest all come at once.
+func (s *Sender) cut(c *call) {
+	r := c.ep.route
+	if c.sentAt < r.cutAt { // it went out before the last cut and tells no more
+		return
 	}
-	r.part = max(r.part*partCut, 0.5/float64(s.cfg.Fleet))
-	r.partAt = s.now
+	s.grow(r)
+	r.refusals++
+	r.cutAt = s.now
+	r.part = max(min(r.part, 1)*math.Pow(partCut, float64(r.refusals)), partLeast)
 	r.tokens = min(r.tokens, s.rng.Float64())
 }
 
@@ -707,7 +728,8 @@
 		r.passed, r.passedAt = 0, s.now
 	}
 	r.passed++
-	s.grow(r, true)
+	s.grow(r)
+	r.refusals = 0
 	switch {
 	case r.sick:
 		r.sick, r.coldFrom = false, s.now
@@ -748,7 +770,7 @@
 		return s.cfg.FallMultiple * share * part, true
 	}
 	limit := s.limit(r)
-	return r.part * limit, limit > 0
+	return min(1, r.part*s.weight()) * limit, limit > 0
 }
 
 // limit is what the route takes a second from all senders as far as it is told, 0 for no limit.
@@ -764,27 +786,39 @@
 	return d.came * math.Exp(-seconds(now-d.cameAt)/seconds(demandSpan)) / seconds(demandSpan)
 }
 
-// grow gives back a part that was cut, while calls pass. Of a large fleet each sender has few calls:
-// there a part that was cut to less than a call in several seconds never came back, and messages waited
-// for all their time at a destination that had room. So it grows with the time there, and by the whole
-// pause where the destination tells that there is room.
-func (s *Sender) grow(r *route, passed bool) {
-	rare := s.limit(r) < rareShare*float64(s.cfg.Fleet)
-	if !passed && !rare {
-		return
+// grow gives back a part that was cut. While calls pass it grows by the same step for all, in the time of a
+// call at the own share: growth in proportion to the part, or by the calls, drove the parts of a fleet apart
+// until half of it starved. After a refusal it grows by less in that time than the next refusal cuts, for a
+// fleet whose parts come back between its rare calls keeps a limit overbooked for good.
+func (s *Sender) grow(r *route) {
+	calls := s.weight() * s.limit(r) * min(seconds(s.now-r.partAt), seconds(demandSpan))
+	if r.refusals > 0 {
+		r.part *= math.Exp(partStay * calls)
+	} else {
+		r.part += partGrow * calls
 	}
-	gap := seconds(s.now - r.partAt)
-	if !rare {
-		gap = min(gap, max(1, r.left*seconds(demandSpan)))
+	r.part, r.partAt = min(r.part, r.most), s.now
+}
+
+// weight is this sender's share of the fleet's traffic: of what the tenants' allowances let expect for all,
+// what comes here for the first time.
+func (s *Sender) weight() float64 {
+	even, all := 1/float64(s.cfg.Fleet), 0.0
+	for _, t := range s.cfg.Tenants {
+		all += t.PerSecond
 	}
-	r.part = min(1, r.part+partGrow*max(r.part, 1/float64(s.cfg.Fleet))*min(gap, seconds(demandSpan)))
-	r.partAt = s.now
+	if all <= 0 {
+		return even
+	}
+	fade := math.Exp(-seconds(s.now-s.cameAt) / seconds(weightSpan))
+	seen := s.seen*fade + seconds(weightSpan)*(1-fade)
+	return min(1, (s.came*fade/all+even*weightPrior)/(seen+weightPrior))
 }
 
 // refill brings the token bucket up to now. On the way back from an outage nothing is saved up for a burst.
 func (s *Sender) refill(r *route) {
 	if !r.recovering() {
-		s.grow(r, false)
+		s.grow(r)
 	}
 	rate, bound := s.pace(r)
 	if !bound {
@@ -792,8 +826,11 @@
 		return
 	}
 	most := max(1, burstSpan*rate)
-	if r.recovering() {
+	switch {
+	case r.recovering():
 		most = 1
+	case r.most > 1:
+		most = max(most, depthMost)
 	}
 	r.tokens = min(r.tokens+rate*seconds(s.now-r.tokensAt), most)
 	r.tokensAt = s.now
--- a/choice/saved.go
+++ b/choice/saved.go
@@ -12,25 +12,27 @@
 // The literals below have no field names on purpose: a field that is added to one of the types must be added here
 // as well, or this does not compile.
 type Saved struct {
-	Now      time.Duration
-	Random   []byte
-	Dests    []SavedDest
-	Active   []int          // places in Dests
-	Messages []SavedMessage // the open ones in their order, then those that are over and have an attempt out
-	Open     int
-	Lines    map[string][]int // places in Messages
-	Calls    []SavedCall
-	Rests    map[string]time.Duration
-	Resting  []SavedRest
-	Parted   map[string]time.Duration
-	Barred   map[string]bool
-	Crowded  map[int]time.Duration
-	WornTil  time.Duration
-	Tenants  []SavedTenant
-	Made     uint64
-	Asking   time.Duration
-	AskAt    time.Duration
-	Failing  float64
+	Now        time.Duration
+	Random     []byte
+	Dests      []SavedDest
+	Active     []int          // places in Dests
+	Messages   []SavedMessage // the open ones in their order, then those that are over and have an attempt out
+	Open       int
+	Lines      map[string][]int // places in Messages
+	Calls      []SavedCall
+	Rests      map[string]time.Duration
+	Resting    []SavedRest
+	Parted     map[string]time.Duration
+	Barred     map[string]bool
+	Crowded    map[int]time.Duration
+	WornTil    time.Duration
+	Tenants    []SavedTenant
+	Made       uint64
+	Asking     time.Duration
+	AskAt      time.Duration
+	Failing    float64
+	Came, Seen float64
+	CameAt     time.Duration
 }
 
 // SavedRest is a keyRest.
@@ -59,6 +61,9 @@
 	Reported           bool
 	Left, Weight, Part float64
 	PartAt             time.Duration
+	Refusals           int
+	CutAt              time.Duration
+	Most               float64
 	Tokens             float64
 	TokensAt           time.Duration
 	Fails              int
@@ -145,14 +150,14 @@
 
 func (r *route) saved() SavedRoute {
 	return SavedRoute{
-		r.waitUntil, r.limit, r.reported, r.left, r.weight, r.part, r.partAt, r.tokens, r.tokensAt, r.fails, r.failedAt, r.rest,
+		r.waitUntil, r.limit, r.reported, r.left, r.weight, r.part, r.partAt, r.refusals, r.cutAt, r.most, r.tokens, r.tokensAt, r.fails, r.failedAt, r.rest,
 		r.sick, r.harmless, r.trialAt, r.backoff, r.trial, r.coldFrom, r.struckAt, r.demand, r.busiest, r.passed, r.passedAt,
 	}
 }
 
 func (r SavedRoute) route() *route {
 	return &route{
-		r.WaitUntil, r.Limit, r.Reported, r.Left, r.Weight, r.Part, r.PartAt, r.Tokens, r.TokensAt, r.Fails, r.FailedAt, r.Rest,
+		r.WaitUntil, r.Limit, r.Reported, r.Left, r.Weight, r.Part, r.PartAt, r.Refusals, r.CutAt, r.Most, r.Tokens, r.TokensAt, r.Fails, r.FailedAt, r.Rest,
 		r.Sick, r.Harmless, r.TrialAt, r.Backoff, r.Trial, r.ColdFrom, r.StruckAt, r.Demand, r.Busiest, r.Passed, r.PassedAt,
 	}
 }
@@ -195,6 +200,7 @@
 	v := Saved{
 		Now: s.now, Random: random, Lines: map[string][]int{}, Rests: s.rests, Parted: s.parted, Barred: s.barred, Crowded: s.crowded,
 		WornTil: s.wornTil, Made: s.made, Asking: s.asking, AskAt: s.askAt, Failing: s.failing,
+		Came: s.came, Seen: s.seen, CameAt: s.cameAt,
 	}
 	for _, t := range s.tenants {
 		v.Tenants = append(v.Tenants, SavedTenant{t.tokens, t.at})
@@ -282,6 +288,7 @@
 	}
 	s.rng = rand.New(s.source)
 	s.now, s.wornTil, s.made, s.asking, s.askAt, s.failing = v.Now, v.WornTil, v.Made, v.Asking, v.AskAt, v.Failing
+	s.came, s.seen, s.cameAt = v.Came, v.Seen, v.CameAt
 	maps.Copy(s.rests, v.Rests)
 	maps.Copy(s.parted, v.Parted)
 	maps.Copy(s.crowded, v.Crowded)
--- a/choice/state.go
+++ b/choice/state.go
@@ -35,6 +35,9 @@
 	askAt   time.Duration
 	leaveBy time.Duration // when the process ends; 0 while it stays
 	failing float64       // smoothed share of failures at routes not known to be struck
+	came    float64       // messages that came here for the first time, fading,
+	seen    float64       // and the time in which they did, in seconds
+	cameAt  time.Duration
 	actions []Action
 }
 
@@ -81,8 +84,11 @@
 	reported  bool
 	left      float64 // share of it left at the last report
 	weight    float64
-	part      float64 // this sender's part of the limit
+	part      float64 // of the limit that this sender takes, in shares of its weight
 	partAt    time.Duration
+	refusals  int // in a row
+	cutAt     time.Duration
+	most      float64 // is never exceeded by the part
 	tokens    float64
 	tokensAt  time.Duration
 	fails     int           // failures in a row
