A gate for each class of a partner, which also hears of messages never sent

At fault: destination.gate, one smoothed response for all classes, held against half of the deadline of the one that asks. In a large fleet a node has few messages of a partner, so one order that waited long turned away the next notices, which would have gone first. Ruled out: that pace starved the notices (those admitted were in time).

So expire now tells the gate of a message given up unsent; with all its time as the sample the gates shut for too long, so it counts just past the bound.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -16,9 +16,12 @@
 	gateUpper, gateLower = 80, 60
 	// The ratio bounds cannot act before a slow destination's messages expire, so shares of the deadline do.
 	deadlineShut, deadlineOpen = 0.5, 1.0 / 3
-	smoothing                  = 0.2               // weight of a sample when they come often
-	smoothSpan                 = 2 * time.Second   // after a silence this long a sample weighs more
-	baselineSpan               = 120 * time.Second // the baseline grows by a factor e in this time
+	// One never sent counts as this share of the deadline, just past the bound: it may be all that a gate
+	// hears, and with all its time a single one kept the gate shut for long.
+	unsentShare  = 0.6
+	smoothing    = 0.2               // weight of a sample when they come often
+	smoothSpan   = 2 * time.Second   // after a silence this long a sample weighs more
+	baselineSpan = 120 * time.Second // the baseline grows by a factor e in this time
 	// A failed attempt counts for so many aims at least: it reads ill, but holding through an outage beats
 	// refusing, so it must not shut the gate alone. The hold that follows does when it grows too long.
 	failCharge    = 1.0
@@ -247,7 +250,7 @@
 	}
 	m, d := s.take(e)
 	if !s.admit(d, m) {
-		s.finish(m, PushBack{ID: m.id, RetryAfter: s.retryAfter(d)})
+		s.finish(m, PushBack{ID: m.id, RetryAfter: s.retryAfter(m.gate)})
 		return
 	}
 	s.hold(m, e.Key)
@@ -260,7 +263,7 @@
 	class := s.class(e.Class)
 	m := &message{
 		id: e.ID, class: class, dest: d, arrived: s.now, dropDead: e.DropDead, worth: class.Worth,
-		born: e.DropDead - class.Deadline,
+		born: e.DropDead - class.Deadline, gate: s.gate(d, e.Class),
 	}
 	m.aim = min(class.Aim+span(class.AimStretch*seconds(e.Hint)), max(class.Deadline, class.Aim))
 	if !s.inShare(e.Tenant) {
@@ -337,14 +340,16 @@
 	if s.cfg.MaxOpen > 0 && len(d.waiting) > s.cfg.MaxOpen-len(s.open) {
 		return false
 	}
-	if d.gate.accepts(d.gate.average, seconds(m.class.Deadline)) {
+	g := m.gate
+	if g.accepts(g.average, seconds(m.class.Deadline)) {
 		return true
 	}
 	// Shut: with nobody held or out, a single trial message lets the ratio fall. Calls that are overdue don't
 	// count: one silent payout, out for all its time, kept the gate shut as long.
 	awaited := slices.ContainsFunc(d.calls, func(c *call) bool { return !s.overdue(c) })
-	if len(d.waiting) == 0 && !awaited && s.now-d.lastTrial >= gateTrial {
-		d.lastTrial = s.now
+	held := slices.ContainsFunc(d.waiting, func(o *message) bool { return o.gate == g })
+	if !held && !awaited && s.now-g.lastTrial >= gateTrial {
+		g.lastTrial = s.now
 		return true
 	}
 	return false
@@ -382,16 +387,18 @@
 }
 
 // retryAfter asks a refused client to stay away for about as long as the backlog lasts.
-func (s *Sender) retryAfter(d *destination) time.Duration {
+func (s *Sender) retryAfter(g *gate) time.Duration {
 	after := s.cfg.MaxRetryAfter
-	if d.gate.seen && !d.gate.shut {
-		after = min(after, span(d.gate.average))
+	if g.seen && !g.shut {
+		after = min(after, span(g.average))
 	}
 	return after
 }
 
 // StayAway is how long a client should stay away whose message is turned away before the gate, for no room.
-func (s *Sender) StayAway(dest int) time.Duration { return s.retryAfter(s.destination(dest)) }
+func (s *Sender) StayAway(class, dest int) time.Duration {
+	return s.retryAfter(s.gate(s.destination(dest), class))
+}
 
 // Knows tells that a destination is on the list, or was not long ago.
 func (s *Sender) Knows(dest int) bool { return s.dests[dest] != nil }
@@ -442,7 +449,7 @@
 // giveUp ends a message as its effect allows.
 func (s *Sender) giveUp(m *message) {
 	if s.mayRefuse(m) {
-		s.finish(m, PushBack{ID: m.id, RetryAfter: s.retryAfter(m.dest)})
+		s.finish(m, PushBack{ID: m.id, RetryAfter: s.retryAfter(m.gate)})
 	} else {
 		s.finish(m, Fail{ID: m.id})
 	}
@@ -454,6 +461,10 @@
 		switch {
 		case m.over:
 		case s.now >= m.dropDead-endMargin-s.cfg.Tick && m.out == 0, s.now >= m.dropDead:
+			// Of a class that is never sent its gate would hear nothing, and stay open.
+			if m.attempts == 0 && !m.dest.troubled() {
+				m.gate.sample(s.now, min(seconds(s.now-m.arrived), unsentShare*seconds(m.class.Deadline)))
+			}
 			s.giveUp(m)
 		case m.touched && m.out == 0 && m.class.Effect == Keyed && s.now >= s.windowEnd(m)-2*pollEvery:
 			s.giveUp(m) // soon it could neither be sent nor refused
@@ -540,7 +551,7 @@
 	default:
 		sec = max(sec, failCharge*seconds(m.aim))
 	}
-	m.dest.gate.sample(s.now, sec)
+	m.gate.sample(s.now, sec)
 }
 
 func (d *destination) troubled() bool {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -62,7 +62,7 @@
 func TestShutGateRefusesAtOnceButLetsATrialIn(t *testing.T) {
 	w := newStory(t, settings(), 1)
 	w.step(0, one())
-	g := &w.s.dests[0].gate
+	g := &w.s.dests[0].gates[0]
 	*g = gate{seen: true, baseline: 0.1, average: 9, at: w.now}
 	w.step(5*ms, w.arrive("trial", 0, 0))
 	if len(w.sends) != 1 || len(w.backs) != 0 {
@@ -86,18 +86,56 @@
 	w.finish()
 }
 
+// What one class waits at the end of the order must not turn away another that goes before it and is in time.
+func TestLongHoldOfOneClassLeavesTheGateOfAnotherOpen(t *testing.T) {
+	cfg := settings()
+	cfg.Classes[0].Deadline = time.Minute
+	w := newStory(t, cfg, 1)
+	w.step(0, one())
+	w.step(5*ms, w.arrive("urgent", 1, 0))
+	w.step(50*ms, w.outcome("urgent", Pass, 0))
+	w.step(5*ms, w.arrive("held", 0, 0))
+	w.step(9*time.Second, w.outcome("held", Pass, 0)) // most of the other class's time
+	w.step(5*ms, w.arrive("more", 1, 0), w.arrive("and more", 1, 0))
+	if len(w.backs) != 0 {
+		t.Errorf("turned away: %v", w.backs)
+	}
+	w.finish()
+}
+
+// A class whose messages are never sent has no outcomes; its gate must learn from those that are given up.
+func TestMessagesGivenUpUnsentShutTheGate(t *testing.T) {
+	w := newStory(t, settings(), 1)
+	w.step(0, one(), w.arrive("sent", 1, 0)) // has its answer neither way, and the only call of the pace
+	w.s.eps["a"].route.waitUntil = w.now + time.Minute
+	for i := range 3 {
+		w.step(5*ms, w.arrive(fmt.Sprint("held", i), 0, 0))
+	}
+	w.quiet(11 * time.Second)
+	if len(w.sends) != 1 || len(w.backs) == 0 {
+		t.Fatal(w.log)
+	}
+	given := len(w.backs)
+	w.step(5*ms, w.arrive("trial", 0, 0))
+	w.step(5*ms, w.arrive("next", 0, 0))
+	if len(w.backs) != given+1 {
+		t.Errorf("%d turned away after three that were given up unsent", len(w.backs)-given)
+	}
+	w.finish()
+}
+
 func TestFailuresNeverReadHealthy(t *testing.T) {
 	w := newStory(t, settings(), 1)
 	w.step(0, one())
 	for i := range 5 {
 		id := fmt.Sprint("m", i)
-		w.step(200*ms, w.arrive(id, 0, 0))
+		w.step(200*ms, w.arrive(id, 2, 0))
 		w.step(20*ms, w.outcome(id, Pass, 0))
 	}
-	was := w.s.dests[0].gate.average
+	was := w.s.dests[0].gates[2].average
 	w.step(5*ms, w.arrive("x", 2, 0))
 	w.step(5*ms, w.outcome("x", Fault, 0)) // a fast error
-	if now := w.s.dests[0].gate.average; now < was+0.2*smoothing {
+	if now := w.s.dests[0].gates[2].average; now < was+0.2*smoothing {
 		t.Errorf("a fast error moved the average from %v to %v", was, now)
 	}
 	w.finish()
@@ -180,20 +218,20 @@
 	w.step(0, one(), w.arrive("old", 0, 0))
 	d := w.s.dests[0]
 	w.step(7*time.Second, w.outcome("old", NoRoom, 0))
-	d.gate = gate{seen: true, average: 1, baseline: 0.5, at: w.now}
+	d.gates[0] = gate{seen: true, average: 1, baseline: 0.5, at: w.now}
 	d.endpoints[0].route.coldFrom = w.now
 	w.quiet(2 * time.Second)
 	w.step(50*ms, w.outcome("old", Pass, 0))
-	if d.gate.average > 3 {
-		t.Errorf("the average is %v s after a hold through an outage", d.gate.average)
+	if d.gates[0].average > 3 {
+		t.Errorf("the average is %v s after a hold through an outage", d.gates[0].average)
 	}
 	// The call that ends an outage starts the recovery at its own outcome; it still lasted as long as it did.
 	w.step(5*ms, w.arrive("next", 0, 0))
 	w.quiet(300 * ms)
-	d.gate, d.endpoints[0].route.sick = gate{}, true
+	d.gates[0], d.endpoints[0].route.sick = gate{}, true
 	w.step(5*ms, w.outcome("next", Pass, 0))
-	if d.gate.baseline < 0.3 {
-		t.Errorf("the baseline fell to %v s", d.gate.baseline)
+	if d.gates[0].baseline < 0.3 {
+		t.Errorf("the baseline fell to %v s", d.gates[0].baseline)
 	}
 }
 
--- a/choice/lost_test.go
+++ b/choice/lost_test.go
@@ -40,7 +40,7 @@
 			pass(fmt.Sprint("before", i))
 		}
 		d := s.dests[0]
-		average, sent := d.gate.average, now
+		average, sent := d.gates[0].average, now
 		for i := range 4 {
 			if !arrive(fmt.Sprint("lost", i), Safe) {
 				t.Fatalf("lost%d is held", i)
@@ -58,8 +58,8 @@
 		for i := range 4 {
 			s.Step(now, []Event{Ended{ID: fmt.Sprint("lost", i), Endpoint: "a", Outcome: TooSlow, Took: now - sent}})
 		}
-		if r := d.shared; r.sick == passing || (d.gate.average > average+0.1) == passing {
-			t.Errorf("passing is %v: sick is %v, the average went from %v to %v", passing, r.sick, average, d.gate.average)
+		if r := d.shared; r.sick == passing || (d.gates[0].average > average+0.1) == passing {
+			t.Errorf("passing is %v: sick is %v, the average went from %v to %v", passing, r.sick, average, d.gates[0].average)
 		}
 	}
 }
@@ -70,7 +70,7 @@
 	s.Step(now, []Event{one()})
 	unsafe := slices.IndexFunc(settings().Classes, func(c Class) bool { return c.Effect == Unsafe })
 	s.Step(now, []Event{Arrived{ID: "silent", Class: unsafe, DropDead: now + time.Minute}})
-	s.dests[0].gate = gate{seen: true, baseline: 0.1, average: 9, at: now}
+	s.dests[0].gates[0] = gate{seen: true, baseline: 0.1, average: 9, at: now}
 	for _, c := range []struct {
 		after time.Duration
 		taken bool
--- a/choice/saved.go
+++ b/choice/saved.go
@@ -52,6 +52,7 @@
 	Average, Baseline float64
 	At                time.Duration
 	Seen, Shut        bool
+	LastTrial         time.Duration
 }
 
 // SavedRoute is a route.
@@ -97,7 +98,7 @@
 type SavedDest struct {
 	ID        int
 	Emptied   time.Duration
-	Gate      SavedGate
+	Gates     []SavedGate // by class
 	Kind      int
 	Shared    SavedRoute
 	Endpoints []SavedEndpoint
@@ -105,7 +106,6 @@
 	Waiting   []int // places in Messages
 	Used      float64
 	UsedAt    time.Duration
-	LastTrial time.Duration
 	Came      float64
 	CameAt    time.Duration
 }
@@ -144,9 +144,11 @@
 	Message int
 }
 
-func (g gate) saved() SavedGate { return SavedGate{g.average, g.baseline, g.at, g.seen, g.shut} }
+func (g gate) saved() SavedGate {
+	return SavedGate{g.average, g.baseline, g.at, g.seen, g.shut, g.lastTrial}
+}
 
-func (g SavedGate) gate() gate { return gate{g.Average, g.Baseline, g.At, g.Seen, g.Shut} }
+func (g SavedGate) gate() gate { return gate{g.Average, g.Baseline, g.At, g.Seen, g.Shut, g.LastTrial} }
 
 func (r *route) saved() SavedRoute {
 	return SavedRoute{
@@ -155,7 +157,11 @@
 	}
 }
 
+// route takes a route without a greatest part, from before these were counted in shares, as a new one in that.
 func (r SavedRoute) route() *route {
+	if r.Most == 0 {
+		r.Part, r.Most = partFirst, partMost
+	}
 	return &route{
 		r.WaitUntil, r.Limit, r.Reported, r.Left, r.Weight, r.Part, r.PartAt, r.Refusals, r.CutAt, r.Most, r.Tokens, r.TokensAt, r.Fails, r.FailedAt, r.Rest,
 		r.Sick, r.Harmless, r.TrialAt, r.Backoff, r.Trial, r.ColdFrom, r.StruckAt, r.Demand, r.Busiest, r.Passed, r.PassedAt,
@@ -212,8 +218,10 @@
 	for i, d := range s.order {
 		dests[d] = i
 		all := SavedDest{
-			d.id, d.emptied, d.gate.saved(), d.kind, d.shared.saved(), nil, len(d.endpoints), nil, d.used, d.usedAt, d.lastTrial,
-			d.came, d.cameAt,
+			d.id, d.emptied, nil, d.kind, d.shared.saved(), nil, len(d.endpoints), nil, d.used, d.usedAt, d.came, d.cameAt,
+		}
+		for _, g := range d.gates {
+			all.Gates = append(all.Gates, g.saved())
 		}
 		put := func(e *endpoint) {
 			if _, there := eps[e]; !there {
@@ -302,7 +310,11 @@
 	eps := make([][]*endpoint, len(v.Dests))
 	for i, d := range v.Dests {
 		at := &destination{
-			d.ID, d.Emptied, d.Gate.gate(), d.Kind, d.Shared.route(), nil, nil, d.Used, d.UsedAt, nil, d.LastTrial, d.Came, d.CameAt, false,
+			d.ID, d.Emptied, make([]gate, len(cfg.Classes)+1), d.Kind, d.Shared.route(), nil, nil, d.Used, d.UsedAt, nil, d.Came, d.CameAt,
+			false,
+		}
+		for i, g := range d.Gates[:min(len(d.Gates), len(at.gates))] {
+			at.gates[i] = g.gate()
 		}
 		s.dests[d.ID], s.order = at, append(s.order, at)
 		for n, e := range d.Endpoints {
@@ -317,7 +329,7 @@
 	all := make([]*message, len(v.Messages))
 	for i, m := range v.Messages {
 		all[i] = &message{
-			m.ID, s.class(m.Class), m.Key, m.Worth, s.order[m.Dest], m.Arrived, m.Born, m.Aim, m.DropDead, m.Attempts, 0, m.MayRun,
+			m.ID, s.class(m.Class), m.Key, m.Worth, s.order[m.Dest], s.gate(s.order[m.Dest], m.Class), m.Arrived, m.Born, m.Aim, m.DropDead, m.Attempts, 0, m.MayRun,
 			m.Touched, m.Zone, m.NotBefore, m.Waits, m.Ended,
 		}
 		if !m.Ended {
--- a/choice/saved_test.go
+++ b/choice/saved_test.go
@@ -63,3 +63,10 @@
 		})
 	}
 }
+
+// A route that comes from a process which did not count parts in shares must not be left without any.
+func TestRouteFromBeforeSharesHasAPart(t *testing.T) {
+	if r := (SavedRoute{Part: 0.01}).route(); r.part != partFirst || r.most != partMost {
+		t.Errorf("the part is %v of at most %v", r.part, r.most)
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -56,7 +56,7 @@
 type destination struct {
 	id        int
 	emptied   time.Duration // when its last endpoint left the list
-	gate      gate
+	gates     []gate        // by class; the last is for those not known
 	kind      int
 	shared    *route // of all endpoints, unless they are routes apart
 	endpoints []*endpoint
@@ -64,17 +64,18 @@
 	used      float64    // slot time it had of late, in seconds
 	usedAt    time.Duration
 	calls     []*call // out, oldest first
-	lastTrial time.Duration
 	came      float64 // messages that came of late, fading
 	cameAt    time.Duration
 	active    bool // stands in the sender's list of those with something to do
 }
 
-// gate is the two-bound admission control of the paper, for one destination.
+// gate is the two-bound admission control of the paper, for one destination and class: what a long hold costs
+// one class at its place in the order says nothing of what another meets.
 type gate struct {
 	average, baseline float64 // seconds
 	at                time.Duration
 	seen, shut        bool
+	lastTrial         time.Duration
 }
 
 // route is what limits, waits and outages bind: a destination, or an endpoint that is a route apart.
@@ -134,6 +135,7 @@
 	key       string
 	worth     float64
 	dest      *destination
+	gate      *gate
 	arrived   time.Duration
 	born      time.Duration // first hand-in, as far as the deadline tells
 	aim       time.Duration
@@ -183,7 +185,7 @@
 func (s *Sender) destination(id int) *destination {
 	d := s.dests[id]
 	if d == nil {
-		d = &destination{id: id, emptied: s.now, shared: newRoute()}
+		d = &destination{id: id, emptied: s.now, shared: newRoute(), gates: make([]gate, len(s.cfg.Classes)+1)}
 		s.dests[id] = d
 		s.order = append(s.order, d)
 	}
@@ -266,6 +268,14 @@
 	}
 }
 
+// gate is a destination's gate for the class of that number.
+func (s *Sender) gate(d *destination, i int) *gate {
+	if i < 0 || i >= len(s.cfg.Classes) {
+		i = len(s.cfg.Classes)
+	}
+	return &d.gates[i]
+}
+
 // class is the class of that number, one without any bounds for a number that is not known.
 func (s *Sender) class(i int) *Class {
 	if i < 0 || i >= len(s.cfg.Classes) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -530,7 +530,7 @@
 
 // turnAway refuses a message for want of room, before the module has heard of it.
 func (n *Node) turnAway(a arrival) answer {
-	return answer{refused: true, after: n.sender.StayAway(a.dest)}
+	return answer{refused: true, after: n.sender.StayAway(a.class, a.dest)}
 }
 
 // forget ends all that the node has of a message.
