Let parts of limits come back half as fast again while calls pass

Seen on zone+vast: partner 0, limit 43, took 17 calls a second from 15 s to 30 s without one refusal while 40 messages a second were turned away: parts stood at 0.35 to 0.5 long after the clump that cut them. At fault is partGrow, the step of grow.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -60,7 +60,7 @@
 	// Pacing. Parts are in shares of the weight.
 	partCut     = 0.6  // factor on this sender's part at a refusal, once more for each in a row
 	partLeast   = 0.05 // is never cut
-	partGrow    = 0.02 // growth in the time of a call at the own share, while calls pass,
+	partGrow    = 0.03 // growth in the time of a call at the own share, while calls pass,
 	partStay    = 0.1  // and its logarithm after a refusal, less than what the next one cuts
 	partFirst   = 2.0  // more than the own share at first, for thin traffic is uneven,
 	partMost    = 4.0  // and at most; depthMost calls may go at once
