Bound the pace to a cold partner by the own part of its limit too

At fault: pace, which while a route recovers went by the cold budget alone, made of the backlog that was handed in meanwhile; refusals cut a part that it did not ask. Ruled out: that it had fallen over (it passed 470 a second right after).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -778,10 +778,17 @@
 		even := s.capacity(r) / float64(s.cfg.Fleet)
 		own := r.demand / max(seconds(s.now-r.struckAt), seconds(s.cfg.Fall))
 		part := max(knowingShare*even, demandShare*min(own, s.capacity(r)))
-		return s.cfg.FallMultiple * share * part, true
+		rate, bound = s.cfg.FallMultiple*share*part, true
 	}
 	limit := s.limit(r)
-	return min(1, r.part*s.weight()) * limit, limit > 0
+	own := min(1, r.part*s.weight()) * limit
+	switch {
+	case limit == 0:
+		return rate, bound
+	case bound: // what refuses a cold one's budget is its limit, which refused calls use up
+		return min(rate, own), true
+	}
+	return own, true
 }
 
 // limit is what the route takes a second from all senders as far as it is told, 0 for no limit.
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -608,6 +608,28 @@
 	}
 }
 
+// A destination that is back and cold has a limit too, which refused calls use up: with the cold budget alone a fleet whose
+// backlog is large overbooks it until it is warm.
+func TestRefusalsSlowThePaceToAColdDestination(t *testing.T) {
+	cfg := settings()
+	cfg.Fleet = 80
+	w := newStory(t, cfg, 1)
+	w.step(0, list(Entry{Endpoint: "a", Weight: 80}))
+	r := w.s.eps["a"].route
+	w.s.strike(r)
+	w.quiet(5 * time.Second)
+	r.sick, r.coldFrom, r.demand = false, w.now, 100 // a backlog that was handed in meanwhile
+	w.quiet(6 * time.Second)
+	before, _ := w.s.pace(r)
+	for range 3 {
+		w.s.now += time.Second
+		w.s.cut(&call{ep: w.s.eps["a"], sentAt: w.s.now})
+	}
+	if after, bound := w.s.pace(r); !bound || after > 0.3 || before < 0.9 {
+		t.Errorf("%v calls a second before and %v after three refusals; the own share is 1", before, after)
+	}
+}
+
 // Parts that grew with each call that passed drove the nodes of a fleet apart: those with more calls got more, until the
 // others starved at a limit that had room for all. Two that see the same share of refusals have to come together.
 func TestPartsComeTogether(t *testing.T) {
