--- a/internal/node/handover_test.go
+++ b/internal/node/handover_test.go
@@ -332,3 +332,39 @@
 		}
 	}
 }
+
+// Where the socket for the next process can't be opened the node says so once, and serves without handover.
+func TestNodeServesWithoutADoor(t *testing.T) {
+	t.Setenv("TMPDIR", filepath.Join(t.TempDir(), "missing"))
+	r := newRegistry(t)
+	said := make(chan string, 100)
+	log := slog.New(slog.NewTextHandler(writerFunc(func(b []byte) (int, error) {
+		if strings.Contains(string(b), "no other process can take over") {
+			said <- string(b)
+		}
+		return len(b), nil
+	}), nil))
+	cfg, err := LoadConfig(writeConfig(t, "127.0.0.1:0", r.addr(), serving("e", "127.0.0.1:1", 7, "SERVING")), t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	n, ln, err := Start(ctx, cfg, log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- n.Run(ctx, ln) }()
+	eventually(t, "ready", func() bool { return n.Unready() == "" })
+	if got := ask(t, ln.Addr().String(), resp("PING")); got != "+PONG" {
+		t.Errorf("got %q", got)
+	}
+	cancel()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+	if len(said) != 1 {
+		t.Errorf("said %d times", len(said))
+	}
+}
