Begin a repeat of an order within its window or not at all

With trace lines, one of them at n199:

6.924 send id= n=0 ep=s- 7.649 outcome id= n=0 o=Undone 11.352 send id= n=2 ep=s- 12.681 outcome id= n=2 o=Pass took=1.328380592s kept=false

The window of 5 s ended at 11.924. The module's check held at 11.352, but the zone was cut off: the connection came up when the cut ended, 1.2 s later, and pool.do wrote the request then. It looked again only at drains and waits after a dial.

Send now says until when a repeat may begin, and the dial takes no longer.

--- a/choice/checker_test.go
+++ b/choice/checker_test.go
@@ -200,6 +200,8 @@
 		w.t.Fatalf("%v: unsafe %s sent again", w.now, a.ID)
 	case m.class.Effect == Keyed && m.touched && w.now > m.first+m.class.Window:
 		w.t.Fatalf("%v: keyed %s sent after its window", w.now, a.ID)
+	case m.class.Effect == Keyed && m.touched && (a.StartBy <= w.now || a.StartBy >= m.first+m.class.Window):
+		w.t.Fatalf("%v: keyed %s may begin until %v, its window ends at %v", w.now, a.ID, a.StartBy, m.first+m.class.Window)
 	case m.class.Effect == Keyed && m.touched && !m.class.GroupAll && p.Zone != m.zone:
 		w.t.Fatalf("%v: keyed %s sent outside its group", w.now, a.ID)
 	case m.out > 0 && !w.cfg.MayDuplicate:
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -181,6 +181,20 @@
 			t.Fatal(w.log)
 		}
 	})
+	t.Run("keyed goes again with its window's end", func(t *testing.T) {
+		w := newStory(t, settings(), 1)
+		w.step(0, one(), w.arrive("k", 1, 0))
+		first := w.now
+		w.step(5*ms, w.outcome("k", Fault, 0))
+		w.quiet(time.Second)
+		if len(w.sends) != 2 || w.sends[0].StartBy != 0 {
+			t.Fatal(w.log)
+		}
+		if by, end := w.sends[1].StartBy, first+w.cfg.Classes[1].Window; by <= w.now || by >= end {
+			t.Errorf("may begin until %v, the window ends at %v", by, end)
+		}
+		w.finish()
+	})
 	t.Run("keyed of one zone stays there", func(t *testing.T) {
 		cfg := settings()
 		cfg.Classes[1].GroupAll = false
--- a/choice/types.go
+++ b/choice/types.go
@@ -188,12 +188,14 @@
 // Action is one decision: Send, PushBack, Fail, Cancel, Probe, HangUp, Wake, Watch or Note.
 type Action interface{ action() }
 
-// Send calls an endpoint with a message; it is abandoned at NotPast. Fresh asks for a new connection. Sends of one
-// Step with the same Call travel together.
+// Send calls an endpoint with a message; it is abandoned at NotPast, and not begun after StartBy unless that is 0: a
+// connection may take long to come up. Fresh asks for a new connection. Sends of one Step with the same Call travel
+// together.
 type Send struct {
 	ID, Endpoint string
 	Call         uint64
 	NotPast      time.Duration
+	StartBy      time.Duration
 	Fresh        bool
 }
 
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -55,8 +55,9 @@
 	items    []item
 	endpoint *endpoint
 	notPast  time.Time
-	fresh    bool   // not on a kept connection
-	wrote    func() // is called once its last byte is written, unless nil
+	startBy  time.Time // its first byte goes out before this or not at all, unless zero
+	fresh    bool      // not on a kept connection
+	wrote    func()    // is called once its last byte is written, unless nil
 }
 
 // fate is how a call ended for one of its messages.
@@ -80,8 +81,9 @@
 
 // pool makes calls, on connections that it keeps between them.
 type pool struct {
-	dialTimeout, idleFor time.Duration
-	maxIdle              int
+	dialer  func(ctx context.Context, network, addr string) (net.Conn, error)
+	idleFor time.Duration
+	maxIdle int
 
 	mu   sync.Mutex
 	idle map[string][]*conn // by endpoint; the last one was used last
@@ -102,7 +104,7 @@
 		dialTimeout = time.Second
 	}
 	return &pool{
-		dialTimeout: dialTimeout, idleFor: max(connIdle-idleMargin, connIdle/2), maxIdle: maxIdle,
+		dialer: (&net.Dialer{Timeout: dialTimeout}).DialContext, idleFor: max(connIdle-idleMargin, connIdle/2), maxIdle: maxIdle,
 		idle: map[string][]*conn{},
 	}
 }
@@ -123,7 +125,7 @@
 	if err != nil {
 		return result{outcome: choice.Stale}
 	}
-	if c.endpoint.closedTo(time.Now()) || ctx.Err() != nil {
+	if !c.mayBegin() || ctx.Err() != nil {
 		return result{outcome: choice.Stale}
 	}
 	k := p.take(c.endpoint)
@@ -133,12 +135,16 @@
 	}
 	kept := k != nil
 	if !kept {
-		if k, err = p.dial(ctx, c.endpoint.addr); err != nil {
+		if k, err = p.dial(ctx, c.endpoint.addr, c.startBy); err != nil {
+			if c.late(time.Now()) { // it had less time than a dial has, so it tells nothing of the endpoint
+				return result{outcome: choice.Stale}
+			}
 			return result{outcome: choice.NoRoute}
 		}
 	}
-	// A dial takes up to a second; a wait told or a drain heard of meanwhile forbids the first byte.
-	if c.endpoint.closedTo(time.Now()) {
+	// A dial takes up to a second, and more where the path is cut for a while: a wait told, a drain heard of or a
+	// window that ended meanwhile forbids the first byte.
+	if !c.mayBegin() {
 		p.give(c.endpoint, k)
 		return result{outcome: choice.Stale}
 	}
@@ -153,6 +159,15 @@
 	return res
 }
 
+// late tells that the call may no longer begin.
+func (c call) late(now time.Time) bool { return !c.startBy.IsZero() && !now.Before(c.startBy) }
+
+// mayBegin tells that the first byte may go out now.
+func (c call) mayBegin() bool {
+	now := time.Now()
+	return !c.endpoint.closedTo(now) && !c.late(now)
+}
+
 func encodeRequest(c call) ([]byte, error) {
 	path, header := "/v1/messages", http.Header{
 		"X-Expires-In": {strconv.FormatInt(max(time.Until(c.notPast).Milliseconds(), 1), 10) + "m"},
@@ -185,9 +200,13 @@
 	return b.Bytes(), nil
 }
 
-func (p *pool) dial(ctx context.Context, addr string) (*conn, error) {
-	d := net.Dialer{Timeout: p.dialTimeout}
-	nc, err := d.DialContext(ctx, "tcp", addr)
+func (p *pool) dial(ctx context.Context, addr string, by time.Time) (*conn, error) {
+	if !by.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, by)
+		defer cancel()
+	}
+	nc, err := p.dialer(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -813,6 +813,9 @@
 	if t := n.wall(a.NotPast); t.After(o.notPast) {
 		o.notPast = t
 	}
+	if t := n.wall(a.StartBy); a.StartBy > 0 && (o.startBy.IsZero() || t.Before(o.startBy)) {
+		o.startBy = t
+	}
 	o.fresh = o.fresh || a.Fresh
 }
 
