Let no message of a call go out after its own time

With trace lines, at n118:

11.795 send id= n=1 call=46 past=566.712884ms 11.795 send id= n=0 call=46 past=11.691763995s 12.374 end id= left=-4.997225ms 12.917 outcome id= n=1 o=Stale closed=true took=1.121472595s

A call with several messages lasts as long as the longest of them (node.send), and this one's connection took a second to come up. The notice had its final answer when its time was up, and went out with the two payouts after it.

Ruled out: a request written before the end that arrives after it.

Send.StartBy is now given for each message, its time or the end of its window; the earliest binds the call. A dial that it cuts off still counts as NoRoute.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -306,8 +306,7 @@
 	m, d := s.take(e.Arrived)
 	m.attempts, m.touched = e.Attempts, e.Touched && m.class.Effect != Safe
 	m.mayRun, m.zone = e.MayRun, e.Zone
-	late := m.touched && m.class.Effect == Keyed && s.now >= s.startBy(m)
-	if (m.touched && m.class.Effect == Unsafe) || late || s.spent(m) || s.now >= m.dropDead-endMargin {
+	if (m.touched && m.class.Effect == Unsafe) || s.spent(m) || s.now >= s.startBy(m) {
 		s.giveUp(m)
 		return
 	}
@@ -447,9 +446,15 @@
 	return m.mayRun + m.class.Window - endMargin - 2*s.cfg.Tick
 }
 
-// startBy is when a keyed message's repeat has to begin, to come to its endpoint within the window. From then on it is
-// given up, while it may still be refused.
-func (s *Sender) startBy(m *message) time.Duration { return s.windowEnd(m) - 2*pollEvery }
+// startBy is when an attempt has to begin: while the message has time, and a keyed one's repeat so that it comes to its
+// endpoint within the window. From then on it is given up, while it may still be refused.
+func (s *Sender) startBy(m *message) time.Duration {
+	by := m.dropDead - endMargin - 2*s.cfg.Tick
+	if m.touched && m.class.Effect == Keyed {
+		by = min(by, s.windowEnd(m)-2*pollEvery)
+	}
+	return by
+}
 
 // giveUp ends a message as its effect allows.
 func (s *Sender) giveUp(m *message) {
@@ -471,7 +476,7 @@
 				m.gate.sample(s.now, min(seconds(s.now-m.arrived), unsentShare*seconds(m.class.Deadline)))
 			}
 			s.giveUp(m)
-		case m.touched && m.out == 0 && m.class.Effect == Keyed && s.now >= s.startBy(m):
+		case m.touched && m.out == 0 && s.now >= s.startBy(m):
 			s.giveUp(m)
 		}
 		return m.over
@@ -1114,7 +1119,7 @@
 	if m.over || m.out > 0 || s.now < m.notBefore || s.spent(m) || !s.routeOpen(e) {
 		return false
 	}
-	if s.cfg.Slots > 0 && s.busy >= s.cfg.Slots || s.now >= m.dropDead-endMargin-2*s.cfg.Tick {
+	if s.cfg.Slots > 0 && s.busy >= s.cfg.Slots || s.now >= s.startBy(m) {
 		return false
 	}
 	if s.leaveBy > 0 && s.now+s.leaveSpan(m, e) > s.leaveBy {
@@ -1129,7 +1134,7 @@
 			return false
 		}
 	case Keyed:
-		if m.touched && (s.now >= s.startBy(m) || (!m.class.GroupAll && e.zone != m.zone)) {
+		if m.touched && !m.class.GroupAll && e.zone != m.zone {
 			return false
 		}
 	}
@@ -1181,12 +1186,8 @@
 		// What may not be repeated is lost when a kept connection turns out broken; a handshake costs less,
 		// and less than another turn for what has had one.
 		fresh := s.now < s.wornTil && (o.class.Effect == Unsafe || o.attempts > 1)
-		var startBy time.Duration
-		if o.touched && o.class.Effect == Keyed {
-			startBy = s.startBy(o)
-		}
 		s.do(Send{
-			ID: o.id, Endpoint: e.id, Call: s.made, NotPast: s.timeout(o, e), StartBy: startBy, Fresh: fresh,
+			ID: o.id, Endpoint: e.id, Call: s.made, NotPast: s.timeout(o, e), StartBy: s.startBy(o), Fresh: fresh,
 		})
 	}
 	r.tokens--
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -136,14 +136,11 @@
 	kept := k != nil
 	if !kept {
 		if k, err = p.dial(ctx, c.endpoint.addr, c.startBy); err != nil {
-			if c.late(time.Now()) { // it had less time than a dial has, so it tells nothing of the endpoint
-				return result{outcome: choice.Stale}
-			}
 			return result{outcome: choice.NoRoute}
 		}
 	}
 	// A dial takes up to a second, and more where the path is cut for a while: a wait told, a drain heard of or a
-	// window that ended meanwhile forbids the first byte.
+	// message whose time is up meanwhile forbids the first byte.
 	if !c.mayBegin() {
 		p.give(c.endpoint, k)
 		return result{outcome: choice.Stale}
@@ -159,13 +156,10 @@
 	return res
 }
 
-// late tells that the call may no longer begin.
-func (c call) late(now time.Time) bool { return !c.startBy.IsZero() && !now.Before(c.startBy) }
-
 // mayBegin tells that the first byte may go out now.
 func (c call) mayBegin() bool {
 	now := time.Now()
-	return !c.endpoint.closedTo(now) && !c.late(now)
+	return !c.endpoint.closedTo(now) && (c.startBy.IsZero() || now.Before(c.startBy))
 }
 
 func encodeRequest(c call) ([]byte, error) {
