--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -16,7 +17,7 @@
 
 // The journal is one file of records, appended only. A record is its payload's length and CRC-32, four bytes
 // each, and the payload: a kind, the number of its message and what the kind calls for. What a process has
-// written outlasts it, so nothing is synced; a kill can at most tear the last record.
+// written outlasts it, so nothing is synced. A kill tears the last record at most; see replay for what is spoilt.
 
 const (
 	recAccepted   byte = iota + 1 // a message was taken on
@@ -107,9 +108,10 @@
 	next    uint64
 	broken  bool // the file lacks records of what is live; only a new file will do
 	retryAt time.Time
+	spoilt  string // what replay found that it could not read
 }
 
-// openJournal replays the journal in dir, as far as its records are whole.
+// openJournal replays the journal in dir, as far as it can be read.
 func openJournal(dir string, diskMB float64) (*journal, error) {
 	if diskMB <= 0 {
 		diskMB = defaultDiskMB
@@ -125,40 +127,98 @@
 		return nil, fmt.Errorf("journal: %w", err)
 	}
 	j.f = f
-	r := bufio.NewReaderSize(f, 64<<10)
-	for {
-		payload, err := readRecord(r)
-		if err != nil {
-			break // the end, or a torn tail: what it would have guarded was not done
-		}
-		j.apply(payload)
-		j.written += int64(recordHead + len(payload))
-	}
-	if err := j.rewind(); err != nil {
+	raw, err := io.ReadAll(f)
+	if err != nil {
 		return nil, errors.Join(fmt.Errorf("journal: %w", err), f.Close())
 	}
+	j.replay(raw)
+	j.written = int64(len(raw))
+	if j.spoilt != "" {
+		j.compact() // if that fails it is broken, and every flush tries again
+	}
 	return j, nil
 }
 
 func (j *journal) path() string { return filepath.Join(j.dir, journalName) }
 
-func readRecord(r io.Reader) ([]byte, error) {
-	var head [recordHead]byte
-	if _, err := io.ReadFull(r, head[:]); err != nil {
-		return nil, err
+// replay applies the records of a file. One that can't be read may have guarded anything that was done since: an
+// attempt, an end. Where it still tells of which message it was, that one is taken to have got so far; else all that is
+// live there is. It ends as failed, for sending it on could be a second effect, or come after its final answer.
+func (j *journal) replay(raw []byte) {
+	for at := 0; at < len(raw); {
+		payload := wholeRecord(raw[at:])
+		if payload != nil {
+			j.apply(bytes.Clone(payload)) // what is kept of it must not keep the file
+			at += recordHead + len(payload)
+			continue
+		}
+		next := at + 1
+		for next < len(raw) && wholeRecord(raw[next:]) == nil {
+			next++
+		}
+		if j.spoilt == "" {
+			j.spoilt = fmt.Sprintf("%d of %d bytes from byte %d on", next-at, len(raw), at)
+		}
+		if next < len(raw) || !j.applyTorn(raw[at:]) {
+			j.endLive()
+		}
+		at = next
+	}
+}
+
+// wholeRecord returns the payload of the record that b begins with, or nil.
+func wholeRecord(b []byte) []byte {
+	if len(b) <= recordHead {
+		return nil
+	}
+	n := binary.LittleEndian.Uint32(b)
+	if n == 0 || n > maxRecord || int64(n) > int64(len(b)-recordHead) {
+		return nil
 	}
-	n := binary.LittleEndian.Uint32(head[:])
-	if n == 0 || n > maxRecord {
-		return nil, errors.New("a record of impossible length")
+	payload := b[recordHead : recordHead+int(n)]
+	if crc32.ChecksumIEEE(payload) != binary.LittleEndian.Uint32(b[4:]) {
+		return nil
 	}
-	payload := make([]byte, n)
-	if _, err := io.ReadFull(r, payload); err != nil {
-		return nil, err
+	return payload
+}
+
+// applyTorn applies what is left of a file's last record, and tells whether that was enough to know its message.
+func (j *journal) applyTorn(b []byte) bool {
+	if len(b) <= recordHead || int64(binary.LittleEndian.Uint32(b)) <= int64(len(b)-recordHead) {
+		return false // it is not its end that is missing
 	}
-	if crc32.ChecksumIEEE(payload) != binary.LittleEndian.Uint32(head[4:]) {
-		return nil, errors.New("a record with a wrong checksum")
+	payload := b[recordHead:]
+	f := &fields{b: payload[1:]}
+	seq := f.number()
+	p := j.live[seq]
+	switch {
+	case f.bad:
+		return false
+	case payload[0] == recAccepted: // attempts are recorded after it, so none was made
+		if id := f.bytes(); !f.bad {
+			p = &past{seq: seq, id: string(id), tenant: -1, deadline: time.UnixMicro(0), ended: &ending{}}
+			j.next = max(j.next, seq+1)
+			j.live[seq] = p
+			j.held += p.size()
+		}
+	case p == nil: // of an endpoint, or of a message that is over
+	case payload[0] == recOver:
+		j.apply(record(recOver, seq))
+	case payload[0] == recAttempt && p.ended == nil: // it may have run, and long ago
+		j.apply(attemptRecord(seq, time.UnixMicro(0), 0))
+	case payload[0] == recEnded && p.ended == nil:
+		j.apply(endedRecord(seq, ending{failed: true}))
+	} // the outcome of an attempt: without it the attempt may have run
+	return true
+}
+
+// endLive ends all that is live as failed. A notice of what is already over does no harm.
+func (j *journal) endLive() {
+	for seq, p := range j.live {
+		if p.ended == nil {
+			j.apply(endedRecord(seq, ending{failed: true}))
+		}
 	}
-	return payload, nil
 }
 
 // fields reads the fields of a payload; bad is set when it is too short.
@@ -224,7 +284,7 @@
 		}
 	case recAttempt:
 		s := pastSend{at: f.time(), zone: int(f.number())}
-		if !f.bad {
+		if !f.bad && p.ended == nil { // which it is after a record that can't be read
 			p.sends = append(p.sends, s)
 		}
 	case recNotRun:
--- a/internal/node/journal_test.go
+++ b/internal/node/journal_test.go
@@ -110,13 +110,71 @@
 			t.Fatalf("cut at %d: %d live, want %d", cut, len(again.live), before+1)
 		}
 	}
-	for i := range whole { // a flipped byte ends the replay there, and is no panic
-		bad := bytes.Clone(whole)
-		bad[i] ^= 0x55
-		if err := os.WriteFile(filepath.Join(dir, journalName), bad, 0o600); err != nil {
+}
+
+// Whatever a record that can't be read was about may have been done. So a message must not have got less far by the
+// journal than it has, at any byte that is the last or is spoilt; what is whole counts, and so does what comes after.
+func TestSpoiltRecords(t *testing.T) {
+	dir := t.TempDir()
+	j := openTest(t, dir, 3)
+	history(t, j)
+	whole, err := os.ReadFile(filepath.Join(dir, journalName))
+	if err != nil {
+		t.Fatal(err)
+	}
+	far := func(p *past) (int, bool) { // attempts that may have run, and whether it is over
+		n := 0
+		for _, s := range p.sends {
+			if !s.notRun {
+				n++
+			}
+		}
+		return n, p.ended != nil
+	}
+	check := func(what string, raw []byte, truth map[uint64]*past) {
+		t.Helper()
+		dir := t.TempDir()
+		if err := os.WriteFile(filepath.Join(dir, journalName), raw, 0o600); err != nil {
 			t.Fatal(err)
 		}
-		openTest(t, dir, 3)
+		got := openTest(t, dir, 3)
+		for seq, g := range got.live {
+			tried, over := far(g)
+			if w := truth[seq]; w == nil && !over {
+				t.Errorf("%s: %d, which is over, is %+v", what, seq, g)
+			} else if w != nil && !over {
+				if wantTried, wantOver := far(w); wantOver || tried < wantTried {
+					t.Errorf("%s: %d is %+v, want %+v", what, seq, g, w)
+				}
+			}
+		}
+		mustAccept(t, got, "new", []byte("afterwards"))
+		mustFlush(t, got)
+		again := openTest(t, dir, 3)
+		if sameLive(t, again.live, got.live); again.spoilt != "" {
+			t.Errorf("%s: the new file has %s", what, again.spoilt)
+		}
+	}
+	ends := []int{} // of the records
+	for at := 0; at < len(whole); {
+		at += recordHead + len(wholeRecord(whole[at:]))
+		ends = append(ends, at)
+	}
+	for i, end := range ends {
+		truth := &journal{live: map[uint64]*past{}, barred: map[string]bool{}, lifted: map[string]time.Time{}}
+		truth.replay(whole[:end])
+		begin := 0
+		if i > 0 {
+			begin = ends[i-1]
+		}
+		for cut := begin + 1; cut < end; cut++ {
+			check(fmt.Sprintf("cut at %d of a record from %d to %d", cut, begin, end), whole[:cut], truth.live)
+		}
+	}
+	for i := range whole {
+		bad := bytes.Clone(whole)
+		bad[i] ^= 0x55
+		check(fmt.Sprint("spoilt at ", i), bad, j.live)
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -121,6 +121,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if j.spoilt != "" {
+		log.Warn("a part of the journal can't be read; what it may have been about ends as failed", "part", j.spoilt)
+	}
 	return &Node{
 		cfg: cfg, log: log, journal: j, sender: choice.New(cfg.Settings, seed(cfg.Seed)), start: time.Now(),
 		pool:   newPool(cfg.Settings.DialTimeout, cfg.Settings.ConnIdle, max(cfg.Limits.Sockets/4, 8)),
