--- a/choice/choice.go
+++ b/choice/choice.go
@@ -446,8 +446,8 @@
 	return m.mayRun + m.class.Window - endMargin - 2*s.cfg.Tick
 }
 
-// startBy is when an attempt has to begin: while the message has time, and a keyed one's repeat so that it comes to its
-// endpoint within the window. From then on it is given up, while it may still be refused.
+// startBy is when an attempt has to begin: while the message has time, and a keyed one's repeat so that it
+// comes to its endpoint within the window. From then on it is given up, while it may still be refused.
 func (s *Sender) startBy(m *message) time.Duration {
 	by := m.dropDead - endMargin - 2*s.cfg.Tick
 	if m.touched && m.class.Effect == Keyed {
@@ -1187,7 +1187,8 @@
 		// and less than another turn for what has had one.
 		fresh := s.now < s.wornTil && (o.class.Effect == Unsafe || o.attempts > 1)
 		s.do(Send{
-			ID: o.id, Endpoint: e.id, Call: s.made, NotPast: s.timeout(o, e), StartBy: s.startBy(o), Fresh: fresh,
+			ID: o.id, Endpoint: e.id, Call: s.made, NotPast: s.timeout(o, e), StartBy: s.startBy(o),
+			Fresh: fresh,
 		})
 	}
 	r.tokens--
