A pure model of a partner: limits, pace, outages, cold return, fates of batches

The lab and the model of the fleet need the other people's systems, once. It takes events and a time and gives actions, with chance handed in, and knows no sockets or clocks. Limits are a rate or a count in a span, with refusals that use them up; spells may overlap; a partner back from an outage falls over above its budget, and says who pushed.

--- /dev/null
+++ b/fleet/partner/partner.go
@@ -0,0 +1,696 @@
+// Package partner is the model of one partner, the other people's system that messages go to: its limit, its queue and
+// pace, its outages and its cold return. It is a pure state machine: an event and a time go in, actions come out, and
+// chance comes from a source that is handed in. The lab serves it on sockets, the model of the fleet on virtual time.
+//
+// What it models is what the protocol page and the brief say of destinations. It is not a measurement of any real one.
+package partner
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Limit is what a partner takes from all senders together.
+type Limit struct {
+	PerSecond     float64       // calls a second; 0: none but its capacity
+	Span          time.Duration // a count in each fixed span of this length; 0: a plain rate
+	Burst         time.Duration // of a plain rate: so much of it may be taken at once, at least one call
+	CountsRefused bool          // calls refused above it use it up as well
+}
+
+// Config is what a partner is like. A zero value of a share or a spread means none of it.
+type Config struct {
+	Endpoints int // at the start, at least 1
+	Workers   int // of each endpoint: calls served at once, at least 1
+	Queue     int // of each endpoint: calls that wait for a worker at most
+	Conns     int // of each endpoint: connections at most, idle ones counted; 0: any number
+	Batch     int // messages in one call at most; 0 and 1: no batches
+
+	Pace     time.Duration // mean time to serve a call of one message
+	Spread   float64       // its coefficient of variation
+	ItemCost float64       // of each further message in a call, as a share of the first one's
+
+	Limit     Limit
+	TellsWait float64          // share of refusals above the limit, or while shut, that tell how long to wait
+	Wait      [2]time.Duration // range of the waits that a plain rate tells
+	Window    time.Duration    // a repeat under the same key is dropped for so long
+
+	Faults float64 // share of messages that end as an error
+	Defers float64 // share of messages in batches that are put off, never having run
+	Lost   float64 // share of calls that run and whose answer is lost
+	Spoilt float64 // share of calls that run and whose answer can't be read
+
+	ColdFrom     float64       // share of its capacity that it returns with after an outage, over 0
+	WarmWithin   time.Duration // until it has all of it
+	FallMultiple float64       // cold and sent more than this multiple of its present capacity
+	Fall         time.Duration // within any span of this length, it falls over; 0: it never does
+}
+
+// Check tells what is wrong with a Config.
+func (c Config) Check() error {
+	for _, share := range []struct {
+		name string
+		v    float64
+	}{{"tells_wait", c.TellsWait}, {"faults", c.Faults}, {"defers", c.Defers}, {"lost", c.Lost}, {"spoilt", c.Spoilt}} {
+		if !(share.v >= 0 && share.v <= 1) {
+			return fmt.Errorf("%s is a share, from 0 to 1, not %v", share.name, share.v)
+		}
+	}
+	switch {
+	case c.Endpoints < 1 || c.Workers < 1:
+		return fmt.Errorf("a partner needs an endpoint and a worker, has %d and %d", c.Endpoints, c.Workers)
+	case c.Pace <= 0:
+		return fmt.Errorf("the pace is over 0, not %v", c.Pace)
+	case c.Queue < 0 || c.Conns < 0 || c.Spread < 0 || c.ItemCost < 0 || c.Limit.PerSecond < 0 || c.Limit.Span < 0 || c.Limit.Burst < 0:
+		return fmt.Errorf("a count, a spread, a cost or a limit is under 0")
+	case c.Wait[0] < 0 || c.Wait[1] < c.Wait[0]:
+		return fmt.Errorf("the waits' range %v has its ends the wrong way round", c.Wait)
+	case c.Fall > 0 && !(c.ColdFrom > 0 && c.ColdFrom <= 1):
+		return fmt.Errorf("cold_from is over 0 and at most 1, not %v", c.ColdFrom)
+	}
+	return nil
+}
+
+// Capacity is the rate of calls with one message that the endpoints serve together when warm, a second.
+func (c Config) Capacity() float64 {
+	return float64(c.Endpoints*c.Workers) / c.Pace.Seconds()
+}
+
+// Trouble is what a spell does to an endpoint.
+type Trouble uint8
+
+// The troubles. All but Slow and Lossy are outages: the endpoint is cold when they end.
+const (
+	Slow    Trouble = iota // serves Size times slower
+	Lossy                  // loses the share Size of its answers
+	Failing                // answers the share Size with an error
+	Shut                   // turns all away, and may tell until when
+	Silent                 // takes calls, runs the share Size of their messages, and answers none
+	Down                   // its connections are reset, and new ones refused
+)
+
+var troubles = [...]string{Slow: "slow", Lossy: "lossy", Failing: "failing", Shut: "shut", Silent: "silent", Down: "down"}
+
+func (t Trouble) String() string { return troubles[t] }
+
+// ParseTrouble reads a Trouble's name.
+func ParseTrouble(name string) (Trouble, bool) {
+	i := slices.Index(troubles[:], name)
+	return Trouble(max(i, 0)), i >= 0
+}
+
+// Event is one piece of news for a partner.
+type Event interface{ event() }
+
+// Opened says that a sender has opened a connection. Conn is its number, used once.
+type Opened struct {
+	Conn     uint64
+	Endpoint int
+}
+
+// Closed says that a connection has ended. What runs on it may run on; its answer goes nowhere.
+type Closed struct{ Conn uint64 }
+
+// Item is a message in a call.
+type Item struct{ ID, Key string }
+
+// Called is a call whose last byte has come. Call is its number, used once. A call without items is a probe.
+type Called struct {
+	Call, Conn uint64
+	Endpoint   int
+	Sender     int
+	Items      []Item
+}
+
+// Troubled begins a spell, which lasts until its end or for good if that is 0. Spells may overlap.
+type Troubled struct {
+	Endpoint int // -1: all that there are
+	What     Trouble
+	Size     float64
+	Until    time.Duration
+}
+
+// Added brings an endpoint into service; the endpoints are numbered in their order.
+type Added struct{}
+
+// Limited sets another limit from now on, as a share of the first one.
+type Limited struct{ Share float64 }
+
+// Tick is the passing of time alone.
+type Tick struct{}
+
+func (Opened) event()   {}
+func (Closed) event()   {}
+func (Called) event()   {}
+func (Troubled) event() {}
+func (Added) event()    {}
+func (Limited) event()  {}
+func (Tick) event()     {}
+
+// Status is how a call is answered.
+type Status uint8
+
+// The statuses. Only those up to Crowded prove that nothing has run.
+const (
+	AboveLimit   Status = iota // above the limit, with a wait or without
+	TurnedAway                 // shut
+	Full                       // its queue is full
+	Crowded                    // too many connections
+	Delivered                  // with a fate for each message
+	Errored                    // as a whole
+	LostAnswer                 // it ran, and the connection is reset
+	SpoiltAnswer               // it ran, and the answer can't be read
+)
+
+// Refused tells that nothing of the call has run.
+func (s Status) Refused() bool { return s <= Crowded }
+
+// Fate is how one message of a call ended.
+type Fate uint8
+
+// The fates.
+const (
+	Accepted Fate = iota
+	Fault         // it may have run
+	Deferred      // it never ran
+)
+
+// Action is what a partner does.
+type Action interface{ action() }
+
+// Answer ends a call. Where its connection has ended nobody hears it.
+type Answer struct {
+	Call   uint64
+	Status Status
+	Fates  []Fate        // of Delivered
+	Wait   time.Duration // told, of a refusal; 0: none
+}
+
+// Ran says that a message has taken effect.
+type Ran struct {
+	Call   uint64
+	ID     string
+	Before bool // it is a repeat under a key whose window is over, or without a key
+}
+
+// Reset says that an endpoint's connections are gone, and that it takes none until Restored.
+type Reset struct{ Endpoint int }
+
+// Restored says that an endpoint takes connections again.
+type Restored struct{ Endpoint int }
+
+// Fell says that the partner, being cold, was pushed over. It stays down.
+type Fell struct {
+	Pushes map[int]float64 // calls by sender within the span
+	Budget float64
+}
+
+func (Answer) action()   {}
+func (Ran) action()      {}
+func (Reset) action()    {}
+func (Restored) action() {}
+func (Fell) action()     {}
+
+type spell struct {
+	Troubled
+	began time.Duration
+}
+
+type endpoint struct {
+	conns    int
+	busy     int
+	waiting  []uint64 // calls, oldest first
+	spells   []spell
+	out      bool          // in an outage
+	cold     bool          // has returned from one,
+	returned time.Duration // then
+}
+
+type job struct {
+	Called
+	ends    time.Duration
+	running bool
+	place   int // in the heap; -1: it never ends by itself
+}
+
+type conn struct {
+	endpoint int
+	over     bool // beyond the endpoint's table
+}
+
+type push struct {
+	at     time.Duration
+	sender int
+	weight float64
+}
+
+// Partner is one partner. Its methods are for one goroutine.
+type Partner struct {
+	cfg   Config
+	rand  *rand.Rand
+	now   time.Duration
+	share float64 // of the limit that is in force
+
+	endpoints []endpoint
+	conns     map[uint64]conn
+	jobs      map[uint64]*job
+	due       dueJobs
+	seen      map[string]time.Duration // when a key, or else an id, first ran
+	pushes    []push
+	fallen    bool
+
+	tokens   float64       // of a plain rate, under 0 where refused calls count
+	filled   time.Duration // when they were counted last
+	span     int64         // of a count: the span it is for
+	spanUsed float64
+}
+
+// New makes a partner that has been in service for long. The Config must pass Check.
+func New(cfg Config, r *rand.Rand) *Partner {
+	p := &Partner{
+		cfg: cfg, rand: r, share: 1, endpoints: make([]endpoint, cfg.Endpoints), conns: map[uint64]conn{}, jobs: map[uint64]*job{},
+		seen: map[string]time.Duration{},
+	}
+	p.tokens = p.burst()
+	return p
+}
+
+// Next is when the partner wants a Tick, if it does.
+func (p *Partner) Next() (time.Duration, bool) {
+	next, ok := time.Duration(math.MaxInt64), false
+	if len(p.due) > 0 {
+		next, ok = p.due[0].ends, true
+	}
+	for i := range p.endpoints {
+		for _, s := range p.endpoints[i].spells {
+			if s.Until > 0 {
+				next, ok = min(next, s.Until), true
+			}
+		}
+	}
+	return next, ok
+}
+
+// Down tells that an endpoint takes no connections.
+func (p *Partner) Down(endpoint int) bool { return p.endpoints[endpoint].has(Down) != nil }
+
+// Fallen tells that the partner was pushed over.
+func (p *Partner) Fallen() bool { return p.fallen }
+
+// Out counts the calls that are waiting or being served.
+func (p *Partner) Out() int { return len(p.jobs) }
+
+// PresentCapacity is the rate of calls with one message that it can serve now, a second.
+func (p *Partner) PresentCapacity() float64 {
+	sum := 0.0
+	for i := range p.endpoints {
+		sum += p.warmth(&p.endpoints[i])
+	}
+	return sum * float64(p.cfg.Workers) / p.cfg.Pace.Seconds()
+}
+
+// Step takes an event at a time that is not before the last one's. What falls due up to then comes first.
+func (p *Partner) Step(now time.Duration, ev Event) []Action {
+	var acts []Action
+	for {
+		next, ok := p.Next()
+		if !ok || next > now {
+			break
+		}
+		p.now = max(p.now, next)
+		acts = p.pass(acts)
+	}
+	p.now = max(p.now, now)
+	switch ev := ev.(type) {
+	case Opened:
+		e := &p.endpoints[ev.Endpoint]
+		e.conns++
+		p.conns[ev.Conn] = conn{ev.Endpoint, p.cfg.Conns > 0 && e.conns > p.cfg.Conns}
+	case Closed:
+		if c, ok := p.conns[ev.Conn]; ok {
+			delete(p.conns, ev.Conn)
+			p.endpoints[c.endpoint].conns--
+		}
+		acts = p.abandon(ev.Conn, acts)
+	case Called:
+		acts = p.call(ev, acts)
+	case Troubled:
+		for i := range p.endpoints {
+			if ev.Endpoint == i || ev.Endpoint < 0 {
+				acts = p.begin(i, ev, acts)
+			}
+		}
+	case Added:
+		p.endpoints = append(p.endpoints, endpoint{})
+	case Limited:
+		p.fill()
+		p.share = ev.Share
+		p.tokens = min(p.tokens, p.burst())
+	}
+	return acts
+}
+
+// pass carries out what is due at p.now: the ends of spells, then of calls in the order of their due times and numbers.
+func (p *Partner) pass(acts []Action) []Action {
+	for i := range p.endpoints {
+		e := &p.endpoints[i]
+		was := e.has(Down) != nil
+		n := len(e.spells)
+		e.spells = slices.DeleteFunc(e.spells, func(s spell) bool { return s.Until > 0 && s.Until <= p.now })
+		if n == len(e.spells) {
+			continue
+		}
+		if e.out && !e.inOutage() {
+			e.out, e.cold, e.returned = false, true, p.now
+		}
+		if was && e.has(Down) == nil {
+			acts = append(acts, Restored{i})
+		}
+	}
+	for len(p.due) > 0 && p.due[0].ends <= p.now {
+		j := heap.Pop(&p.due).(*job)
+		acts = p.finish(j, acts)
+	}
+	return acts
+}
+
+func (p *Partner) begin(i int, t Troubled, acts []Action) []Action {
+	e := &p.endpoints[i]
+	down := e.has(Down) != nil
+	e.spells = append(e.spells, spell{t, p.now})
+	e.out = e.out || e.inOutage()
+	if t.What == Down && !down {
+		for id, c := range p.conns {
+			if c.endpoint == i {
+				delete(p.conns, id)
+			}
+		}
+		e.conns, e.busy, e.waiting = 0, 0, nil
+		for id, j := range p.jobs { // what was being served has not run, or has: nobody will know
+			if j.Endpoint == i {
+				p.drop(id, j)
+			}
+		}
+		acts = append(acts, Reset{i})
+	}
+	return acts
+}
+
+func (p *Partner) call(c Called, acts []Action) []Action {
+	e := &p.endpoints[c.Endpoint]
+	acts = p.pushed(c, acts)
+	refuse := func(s Status, wait time.Duration) []Action {
+		return append(acts, Answer{Call: c.Call, Status: s, Wait: wait})
+	}
+	if e.has(Down) != nil {
+		return append(acts, Answer{Call: c.Call, Status: LostAnswer})
+	}
+	if e.has(Silent) == nil {
+		if p.conns[c.Conn].over {
+			return refuse(Crowded, 0)
+		}
+		if s := e.has(Shut); s != nil {
+			wait := time.Duration(0)
+			if s.Until > 0 && p.chance(p.cfg.TellsWait) {
+				wait = s.Until - p.now
+			}
+			return refuse(TurnedAway, wait)
+		}
+	}
+	if ok, wait := p.admit(); !ok {
+		return refuse(AboveLimit, wait)
+	}
+	if e.busy >= p.cfg.Workers && len(e.waiting) >= p.cfg.Queue {
+		return refuse(Full, 0)
+	}
+	j := &job{Called: c, place: -1}
+	p.jobs[c.Call] = j
+	if e.busy >= p.cfg.Workers {
+		e.waiting = append(e.waiting, c.Call)
+	} else {
+		p.serve(e, j)
+	}
+	return acts
+}
+
+// serve begins to work on a call.
+func (p *Partner) serve(e *endpoint, j *job) {
+	e.busy++
+	j.running = true
+	weight := 1 + p.cfg.ItemCost*float64(max(len(j.Items), 1)-1)
+	took := p.cfg.Pace.Seconds() * weight * p.vary() / p.warmth(e)
+	for _, s := range e.spells {
+		if s.What == Slow {
+			took *= max(s.Size, 1)
+		}
+	}
+	j.ends = p.now + max(time.Duration(took*float64(time.Second)), time.Microsecond)
+	heap.Push(&p.due, j)
+}
+
+func (p *Partner) finish(j *job, acts []Action) []Action {
+	e := &p.endpoints[j.Endpoint]
+	delete(p.jobs, j.Call)
+	p.next(e)
+	if s := e.has(Silent); s != nil {
+		if len(j.Items) > 0 && p.chance(s.Size) {
+			for _, it := range j.Items {
+				acts = p.run(j, it, acts)
+			}
+		}
+		return acts
+	}
+	if s := e.has(Failing); s != nil && p.chance(s.Size) {
+		if p.chance(0.5) {
+			for _, it := range j.Items {
+				acts = p.run(j, it, acts)
+			}
+		}
+		return append(acts, Answer{Call: j.Call, Status: Errored})
+	}
+	fates := make([]Fate, len(j.Items))
+	for i, it := range j.Items {
+		switch {
+		case len(j.Items) > 1 && p.chance(p.cfg.Defers):
+			fates[i] = Deferred
+			continue
+		case p.chance(p.cfg.Faults):
+			fates[i] = Fault
+			if p.chance(0.5) {
+				continue
+			}
+		}
+		acts = p.run(j, it, acts)
+	}
+	status := Delivered
+	lost := p.cfg.Lost
+	if s := e.has(Lossy); s != nil {
+		lost = max(lost, s.Size)
+	}
+	switch {
+	case p.chance(lost):
+		status = LostAnswer
+	case p.chance(p.cfg.Spoilt):
+		status = SpoiltAnswer
+	case len(fates) == 1 && fates[0] == Fault:
+		status = Errored
+	}
+	return append(acts, Answer{Call: j.Call, Status: status, Fates: fates})
+}
+
+// next gives a worker that has become free to the call that has waited longest.
+func (p *Partner) next(e *endpoint) {
+	e.busy = max(e.busy-1, 0)
+	for len(e.waiting) > 0 && e.busy < p.cfg.Workers {
+		j := p.jobs[e.waiting[0]]
+		e.waiting = e.waiting[1:]
+		if j != nil {
+			p.serve(e, j)
+		}
+	}
+}
+
+// abandon forgets the calls of a connection that has ended and that wait; those being served run on.
+func (p *Partner) abandon(conn uint64, acts []Action) []Action {
+	for id, j := range p.jobs {
+		if j.Conn == conn && !j.running {
+			delete(p.jobs, id)
+			e := &p.endpoints[j.Endpoint]
+			e.waiting = slices.DeleteFunc(e.waiting, func(c uint64) bool { return c == id })
+		}
+	}
+	return acts
+}
+
+func (p *Partner) drop(id uint64, j *job) {
+	delete(p.jobs, id)
+	if j.place >= 0 && j.running {
+		heap.Remove(&p.due, j.place)
+	}
+}
+
+// run lets a message take effect, unless its key is known and its window still open.
+func (p *Partner) run(j *job, it Item, acts []Action) []Action {
+	name := "id " + it.ID
+	if it.Key != "" {
+		name = "key " + it.Key
+	}
+	first, before := p.seen[name]
+	if before && it.Key != "" && p.now-first < p.cfg.Window {
+		return acts
+	}
+	p.seen[name] = p.now
+	return append(acts, Ran{Call: j.Call, ID: it.ID, Before: before})
+}
+
+// admit counts a call against the limit; where it is refused it may be told a wait, after which there is room again
+// unless others take it.
+func (p *Partner) admit() (bool, time.Duration) {
+	l := p.cfg.Limit
+	switch {
+	case l.PerSecond <= 0:
+		return true, 0
+	case l.Span > 0:
+		if span := int64(p.now / l.Span); span != p.span {
+			p.span, p.spanUsed = span, 0
+		}
+		if p.spanUsed < math.Max(1, math.Round(l.PerSecond*p.share*l.Span.Seconds())) {
+			p.spanUsed++
+			return true, 0
+		}
+		if !p.chance(p.cfg.TellsWait) {
+			return false, 0
+		}
+		return false, time.Duration(p.span+1)*l.Span - p.now
+	}
+	p.fill()
+	if p.tokens >= 1 {
+		p.tokens--
+		return true, 0
+	}
+	if l.CountsRefused {
+		p.tokens = max(p.tokens-1, -p.burst())
+	}
+	if !p.chance(p.cfg.TellsWait) {
+		return false, 0
+	}
+	wait := p.cfg.Wait[0] + time.Duration(p.rand.Float64()*float64(p.cfg.Wait[1]-p.cfg.Wait[0]))
+	room := time.Duration((1 - p.tokens) / (l.PerSecond * p.share) * float64(time.Second))
+	return false, max(wait, room+time.Millisecond)
+}
+
+func (p *Partner) burst() float64 {
+	return max(1, p.cfg.Limit.PerSecond*p.share*p.cfg.Limit.Burst.Seconds())
+}
+
+func (p *Partner) fill() {
+	p.tokens = min(p.burst(), p.tokens+(p.now-p.filled).Seconds()*p.cfg.Limit.PerSecond*p.share)
+	p.filled = p.now
+}
+
+// pushed counts a call that reaches a cold partner, and lets it fall over above its budget.
+func (p *Partner) pushed(c Called, acts []Action) []Action {
+	if p.cfg.Fall <= 0 || p.fallen {
+		return acts
+	}
+	p.pushes = slices.DeleteFunc(p.pushes, func(q push) bool { return q.at <= p.now-p.cfg.Fall })
+	cold := false
+	for i := range p.endpoints {
+		e := &p.endpoints[i]
+		if e.out {
+			return acts // the outage goes on: what is sent now pushes nothing that is returning
+		}
+		cold = cold || p.isCold(e)
+	}
+	if !cold {
+		p.pushes = nil
+		return acts
+	}
+	p.pushes = append(p.pushes, push{p.now, c.Sender, 1 + p.cfg.ItemCost*float64(max(len(c.Items), 1)-1)})
+	sum := 0.0
+	for _, q := range p.pushes {
+		sum += q.weight
+	}
+	budget := p.cfg.FallMultiple * p.PresentCapacity() * p.cfg.Fall.Seconds()
+	if budget += 2 + math.Sqrt(budget); sum <= budget { // a little slack for chance
+		return acts
+	}
+	p.fallen = true
+	by := map[int]float64{}
+	for _, q := range p.pushes {
+		by[q.sender] += q.weight
+	}
+	acts = append(acts, Fell{Pushes: by, Budget: budget})
+	for i := range p.endpoints {
+		acts = p.begin(i, Troubled{Endpoint: i, What: Down}, acts)
+	}
+	return acts
+}
+
+func (p *Partner) isCold(e *endpoint) bool { return e.cold && p.now < e.returned+p.cfg.WarmWithin }
+
+// warmth is the share of its capacity that an endpoint has.
+func (p *Partner) warmth(e *endpoint) float64 {
+	if !p.isCold(e) {
+		return 1
+	}
+	return p.cfg.ColdFrom + (1-p.cfg.ColdFrom)*float64(p.now-e.returned)/float64(p.cfg.WarmWithin)
+}
+
+// vary draws a factor of mean 1, lognormal.
+func (p *Partner) vary() float64 {
+	if p.cfg.Spread == 0 {
+		return 1
+	}
+	s2 := math.Log(1 + p.cfg.Spread*p.cfg.Spread)
+	return math.Exp(p.rand.NormFloat64()*math.Sqrt(s2) - s2/2)
+}
+
+func (p *Partner) chance(share float64) bool { return share > 0 && p.rand.Float64() < share }
+
+// has returns the endpoint's last spell of a kind, or nil.
+func (e *endpoint) has(t Trouble) *spell {
+	for i := len(e.spells) - 1; i >= 0; i-- {
+		if e.spells[i].What == t {
+			return &e.spells[i]
+		}
+	}
+	return nil
+}
+
+// inOutage tells that the endpoint will be cold after its spells. One that fails less than half is none.
+func (e *endpoint) inOutage() bool {
+	f := e.has(Failing)
+	return e.has(Down) != nil || e.has(Silent) != nil || e.has(Shut) != nil || (f != nil && f.Size >= 0.5)
+}
+
+// dueJobs is a heap of calls by their ends, ties by their numbers.
+type dueJobs []*job
+
+func (d dueJobs) Len() int { return len(d) }
+func (d dueJobs) Less(a, b int) bool {
+	if d[a].ends != d[b].ends {
+		return d[a].ends < d[b].ends
+	}
+	return d[a].Call < d[b].Call
+}
+func (d dueJobs) Swap(a, b int) {
+	d[a], d[b] = d[b], d[a]
+	d[a].place, d[b].place = a, b
+}
+func (d *dueJobs) Push(x any) {
+	j := x.(*job)
+	j.place = len(*d)
+	*d = append(*d, j)
+}
+func (d *dueJobs) Pop() any {
+	old := *d
+	j := old[len(old)-1]
+	*d = old[:len(old)-1]
+	j.place = -1
+	return j
+}
--- /dev/null
+++ b/fleet/partner/partner_test.go
@@ -0,0 +1,407 @@
+package partner
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const ms = time.Millisecond
+
+// drawConfig draws a partner, without troubles of its own.
+func drawConfig(t *rapid.T) Config {
+	c := Config{
+		Endpoints: rapid.IntRange(1, 3).Draw(t, "endpoints"), Workers: rapid.IntRange(1, 4).Draw(t, "workers"),
+		Queue: rapid.IntRange(0, 5).Draw(t, "queue"), Batch: rapid.IntRange(1, 5).Draw(t, "batch"),
+		Pace: time.Duration(rapid.IntRange(1, 300).Draw(t, "pace")) * ms, Spread: rapid.Float64Range(0, 1).Draw(t, "spread"),
+		ItemCost:  rapid.Float64Range(0, 0.5).Draw(t, "item cost"),
+		Limit:     Limit{PerSecond: float64(rapid.IntRange(0, 30).Draw(t, "limit")), CountsRefused: rapid.Bool().Draw(t, "counts refused")},
+		TellsWait: rapid.Float64Range(0, 1).Draw(t, "tells wait"), Wait: [2]time.Duration{100 * ms, 400 * ms}, Window: 2 * time.Second,
+		ColdFrom: 0.2, WarmWithin: 5 * time.Second, FallMultiple: 2, Fall: 2 * time.Second,
+	}
+	if rapid.Bool().Draw(t, "in spans") {
+		c.Limit.Span = time.Duration(rapid.IntRange(1, 4).Draw(t, "span")) * 500 * ms
+	} else {
+		c.Limit.Burst = time.Duration(rapid.IntRange(0, 2).Draw(t, "burst")) * time.Second
+	}
+	return c
+}
+
+// traffic draws events at times that grow.
+type timed struct {
+	at time.Duration
+	ev Event
+}
+
+func drawTraffic(t *rapid.T, c Config, troubles bool) []timed {
+	var out []timed
+	at := time.Duration(0)
+	var conns []uint64
+	next := uint64(0)
+	at0 := map[uint64]int{}
+	for i := range rapid.IntRange(5, 120).Draw(t, "events") {
+		at += time.Duration(rapid.IntRange(0, 200).Draw(t, "gap")) * ms
+		kind := rapid.IntRange(0, 9).Draw(t, "kind")
+		switch {
+		case len(conns) == 0 || kind == 0:
+			next++
+			at0[next] = rapid.IntRange(0, c.Endpoints-1).Draw(t, "endpoint")
+			conns = append(conns, next)
+			out = append(out, timed{at, Opened{Conn: next, Endpoint: at0[next]}})
+		case kind == 1 && troubles:
+			out = append(out, timed{at, Troubled{
+				Endpoint: -1, What: Trouble(rapid.IntRange(int(Slow), int(Down)).Draw(t, "trouble")), Size: rapid.Float64Range(0, 3).Draw(t, "size"),
+				Until: at + time.Duration(rapid.IntRange(1, 3000).Draw(t, "for"))*ms,
+			}})
+		case kind == 2 && troubles:
+			out = append(out, timed{at, Closed{Conn: conns[0]}})
+			conns = conns[1:]
+		default:
+			conn := rapid.SampledFrom(conns).Draw(t, "conn")
+			call := Called{Call: uint64(1000 + i), Conn: conn, Endpoint: at0[conn], Sender: rapid.IntRange(0, 2).Draw(t, "sender")}
+			for k := range rapid.IntRange(1, c.Batch).Draw(t, "items") {
+				call.Items = append(call.Items, Item{ID: fmt.Sprintf("m%d-%d", i, k), Key: fmt.Sprintf("k%d", rapid.IntRange(0, 20).Draw(t, "key"))})
+			}
+			out = append(out, timed{at, call})
+		}
+	}
+	return out
+}
+
+type acted struct {
+	at  time.Duration
+	act Action
+}
+
+// play gives the events to a new partner and lets it come to rest.
+func play(c Config, events []timed) []acted {
+	p := New(c, rand.New(rand.NewPCG(1, 2)))
+	var out []acted
+	step := func(at time.Duration, ev Event) {
+		for _, a := range p.Step(at, ev) {
+			out = append(out, acted{at, a})
+		}
+	}
+	for _, e := range events {
+		for { // as a driver does, each thing at its own time
+			next, ok := p.Next()
+			if !ok || next >= e.at {
+				break
+			}
+			step(next, Tick{})
+		}
+		step(e.at, e.ev)
+	}
+	for {
+		next, ok := p.Next()
+		if !ok {
+			return out
+		}
+		step(next, Tick{})
+	}
+}
+
+// Without troubles each call has one answer, and a refused one never ran.
+func TestEveryCallIsAnsweredOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := drawConfig(t)
+		events := drawTraffic(t, c, false)
+		answers, ran := map[uint64]Answer{}, map[uint64]bool{}
+		for _, a := range play(c, events) {
+			switch a := a.act.(type) {
+			case Answer:
+				if _, twice := answers[a.Call]; twice {
+					t.Fatalf("call %d was answered twice", a.Call)
+				}
+				answers[a.Call] = a
+			case Ran:
+				ran[a.Call] = true
+			}
+		}
+		for _, e := range events {
+			if call, ok := e.ev.(Called); ok {
+				a, ok := answers[call.Call]
+				if !ok {
+					t.Fatalf("call %d had no answer", call.Call)
+				}
+				if a.Status.Refused() && ran[call.Call] {
+					t.Fatalf("call %d was refused and ran", call.Call)
+				}
+			}
+		}
+	})
+}
+
+// With all troubles no call is answered twice, none at an endpoint that is down, and no key runs twice in its window.
+func TestTroubles(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := drawConfig(t)
+		events := drawTraffic(t, c, true)
+		keys := map[string]string{}
+		for _, e := range events {
+			if call, ok := e.ev.(Called); ok {
+				for _, it := range call.Items {
+					keys[it.ID] = it.Key
+				}
+			}
+		}
+		answered := map[uint64]bool{}
+		last := map[string]time.Duration{}
+		for _, a := range play(c, events) {
+			switch act := a.act.(type) {
+			case Answer:
+				if answered[act.Call] {
+					t.Fatalf("call %d was answered twice", act.Call)
+				}
+				answered[act.Call] = true
+			case Ran:
+				if before, ok := last[keys[act.ID]]; ok && a.at-before < c.Window {
+					t.Fatalf("%s ran at %v and %v, its window is %v", keys[act.ID], before, a.at, c.Window)
+				}
+				last[keys[act.ID]] = a.at
+			}
+		}
+	})
+}
+
+// One seed and one history give the same actions, to the last.
+func TestSameSeedSameActions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := drawConfig(t)
+		events := drawTraffic(t, c, true)
+		if a, b := play(c, events), play(c, events); !reflect.DeepEqual(a, b) {
+			t.Fatalf("two plays differ:\n%v\n%v", a, b)
+		}
+	})
+}
+
+// What is taken on never passes the limit: in a span the count, over any time the rate and its burst.
+func TestLimitHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := drawConfig(t)
+		c.Limit.PerSecond = max(c.Limit.PerSecond, 1)
+		events := drawTraffic(t, c, false)
+		began := map[uint64]time.Duration{}
+		for _, e := range events {
+			if call, ok := e.ev.(Called); ok {
+				began[call.Call] = e.at
+			}
+		}
+		var taken []time.Duration
+		for _, a := range play(c, events) {
+			if ans, ok := a.act.(Answer); ok && !ans.Status.Refused() {
+				taken = append(taken, began[ans.Call])
+			}
+		}
+		for _, from := range taken {
+			for _, to := range taken {
+				if to < from {
+					continue
+				}
+				n := 0
+				for _, at := range taken {
+					if at >= from && at <= to {
+						n++
+					}
+				}
+				var most float64
+				if c.Limit.Span > 0 {
+					if from/c.Limit.Span != to/c.Limit.Span {
+						continue
+					}
+					most = max(1, math.Round(c.Limit.PerSecond*c.Limit.Span.Seconds()))
+				} else {
+					most = max(1, c.Limit.PerSecond*c.Limit.Burst.Seconds()) + c.Limit.PerSecond*(to-from).Seconds() + 1e-6
+				}
+				if float64(n) > most {
+					t.Fatalf("%d calls from %v to %v, at most %v are allowed", n, from, to, most)
+				}
+			}
+		}
+	})
+}
+
+// A wait that is told is honest: at its end there is room, if nobody else has taken it.
+func TestWaitsAreHonest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := drawConfig(t)
+		c.TellsWait, c.Limit.PerSecond = 1, max(c.Limit.PerSecond, 1)
+		p := New(c, rand.New(rand.NewPCG(3, 4)))
+		p.Step(0, Opened{Conn: 1})
+		at := time.Duration(rapid.IntRange(0, 3000).Draw(t, "start")) * ms
+		for i := range 200 {
+			for _, a := range p.Step(at, Called{Call: uint64(i), Conn: 1}) {
+				ans, ok := a.(Answer)
+				if !ok || ans.Call != uint64(i) || ans.Status != AboveLimit {
+					continue
+				}
+				if ans.Wait <= 0 {
+					t.Fatalf("no wait told")
+				}
+				for _, b := range p.Step(at+ans.Wait, Called{Call: 1000, Conn: 1}) {
+					if again, ok := b.(Answer); ok && again.Call == 1000 && again.Status == AboveLimit {
+						t.Fatalf("refused again after the wait of %v", ans.Wait)
+					}
+				}
+				return
+			}
+		}
+		t.Fatal("200 calls at once were never above the limit")
+	})
+}
+
+// A partner back from an outage falls over above its budget, and never below.
+func TestColdReturn(t *testing.T) {
+	c := Config{
+		Endpoints: 2, Workers: 5, Queue: 1000, Pace: 100 * ms, ColdFrom: 0.2, WarmWithin: 10 * time.Second, FallMultiple: 2, Fall: 2 * time.Second,
+	} // 100 calls a second when warm, 20 when it returns
+	for _, test := range []struct {
+		perSecond int
+		falls     bool
+	}{{20, false}, {30, false}, {90, true}} {
+		t.Run(fmt.Sprint(test.perSecond), func(t *testing.T) {
+			p := New(c, rand.New(rand.NewPCG(5, 6)))
+			p.Step(0, Opened{Conn: 1})
+			p.Step(time.Second, Troubled{Endpoint: -1, What: Shut, Until: 3 * time.Second})
+			var fell *Fell
+			for i := range 2 * test.perSecond {
+				at := 3*time.Second + time.Duration(i)*time.Second/time.Duration(test.perSecond)
+				for _, a := range p.Step(at, Called{Call: uint64(i), Conn: 1, Sender: 7}) {
+					if f, ok := a.(Fell); ok {
+						fell = &f
+					}
+				}
+			}
+			if (fell != nil) != test.falls || p.Fallen() != test.falls {
+				t.Fatalf("fell: %v, want %v", fell, test.falls)
+			}
+			if fell != nil && (fell.Pushes[7] <= fell.Budget || !p.Down(0)) {
+				t.Errorf("pushes %v, budget %v, down %v", fell.Pushes, fell.Budget, p.Down(0))
+			}
+		})
+	}
+}
+
+// Cold, it serves slower, and warms.
+func TestWarmsWithTime(t *testing.T) {
+	c := Config{Endpoints: 1, Workers: 1, Pace: 100 * ms, ColdFrom: 0.25, WarmWithin: 10 * time.Second}
+	p := New(c, rand.New(rand.NewPCG(7, 8)))
+	p.Step(0, Troubled{Endpoint: -1, What: Silent, Until: time.Second})
+	for _, test := range []struct {
+		at   time.Duration
+		want float64
+	}{{time.Second, 2.5}, {6 * time.Second, 6.25}, {11 * time.Second, 10}} {
+		p.Step(test.at, Tick{})
+		if got := p.PresentCapacity(); math.Abs(got-test.want) > 1e-9 {
+			t.Errorf("at %v: %v calls a second, want %v", test.at, got, test.want)
+		}
+	}
+}
+
+// A full table of connections turns the next ones away until one closes.
+func TestConnections(t *testing.T) {
+	c := Config{Endpoints: 1, Workers: 10, Conns: 2, Pace: 10 * ms}
+	p := New(c, rand.New(rand.NewPCG(9, 10)))
+	status := func(call, conn uint64, at time.Duration) Status {
+		t.Helper()
+		acts := p.Step(at, Called{Call: call, Conn: conn})
+		for next, ok := p.Next(); ok; next, ok = p.Next() {
+			acts = append(acts, p.Step(next, Tick{})...)
+		}
+		for _, a := range acts {
+			if ans, ok := a.(Answer); ok && ans.Call == call {
+				return ans.Status
+			}
+		}
+		t.Fatalf("call %d had no answer", call)
+		return 0
+	}
+	for conn := uint64(1); conn <= 3; conn++ {
+		p.Step(0, Opened{Conn: conn})
+	}
+	if got := status(1, 2, 0); got != Delivered {
+		t.Errorf("in the table: %v", got)
+	}
+	if got := status(2, 3, time.Second); got != Crowded {
+		t.Errorf("beyond the table: %v", got)
+	}
+	p.Step(2*time.Second, Closed{Conn: 1})
+	p.Step(2*time.Second, Closed{Conn: 3})
+	p.Step(2*time.Second, Opened{Conn: 4})
+	if got := status(3, 4, 3*time.Second); got != Delivered {
+		t.Errorf("after one closed: %v", got)
+	}
+}
+
+// Batches have a fate each; lost and spoilt answers come after the messages ran.
+func TestFatesAndLostAnswers(t *testing.T) {
+	base := Config{Endpoints: 1, Workers: 100, Pace: 10 * ms, Batch: 10}
+	count := func(c Config) (statuses map[Status]int, fates map[Fate]int, ran int) {
+		p := New(c, rand.New(rand.NewPCG(11, 12)))
+		p.Step(0, Opened{Conn: 1})
+		statuses, fates = map[Status]int{}, map[Fate]int{}
+		for i := range 100 {
+			call := Called{Call: uint64(i), Conn: 1}
+			for k := range 10 {
+				call.Items = append(call.Items, Item{ID: fmt.Sprintf("%d-%d", i, k)})
+			}
+			p.Step(0, call)
+		}
+		for next, ok := p.Next(); ok; next, ok = p.Next() {
+			for _, a := range p.Step(next, Tick{}) {
+				switch a := a.(type) {
+				case Answer:
+					statuses[a.Status]++
+					for _, f := range a.Fates {
+						fates[f]++
+					}
+				case Ran:
+					ran++
+				}
+			}
+		}
+		return statuses, fates, ran
+	}
+	c := base
+	c.Faults, c.Defers = 0.2, 0.3
+	if _, fates, ran := count(c); fates[Accepted] == 0 || fates[Fault] == 0 || fates[Deferred] == 0 || ran < fates[Accepted] || ran > fates[Accepted]+fates[Fault] {
+		t.Errorf("fates %v, %d ran", fates, ran)
+	}
+	c = base
+	c.Lost = 1
+	if statuses, _, ran := count(c); statuses[LostAnswer] != 100 || ran != 1000 {
+		t.Errorf("lost: %v, %d ran", statuses, ran)
+	}
+	c = base
+	c.Spoilt = 1
+	if statuses, _, ran := count(c); statuses[SpoiltAnswer] != 100 || ran != 1000 {
+		t.Errorf("spoilt: %v, %d ran", statuses, ran)
+	}
+}
+
+func TestCheck(t *testing.T) {
+	good := Config{Endpoints: 1, Workers: 1, Pace: ms}
+	if err := good.Check(); err != nil {
+		t.Error(err)
+	}
+	for name, change := range map[string]func(*Config){
+		"no endpoint":     func(c *Config) { c.Endpoints = 0 },
+		"no pace":         func(c *Config) { c.Pace = 0 },
+		"a share over 1":  func(c *Config) { c.Lost = 1.5 },
+		"a share of NaN":  func(c *Config) { c.Faults = math.NaN() },
+		"waits reversed":  func(c *Config) { c.Wait = [2]time.Duration{2, 1} },
+		"cold from 0":     func(c *Config) { c.Fall = time.Second },
+		"a limit under 0": func(c *Config) { c.Limit.PerSecond = -1 },
+	} {
+		c := good
+		change(&c)
+		if c.Check() == nil {
+			t.Errorf("%s passes", name)
+		}
+	}
+}
