--- /dev/null
+++ b/fleet/judge/judge_test.go
@@ -0,0 +1,337 @@
+package judge
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"starlingusher/fleet/history"
+)
+
+const (
+	ms     = time.Millisecond
+	safe   = 0
+	keyed  = 1
+	unsafe = 2
+)
+
+func terms() Terms {
+	t := DefaultTerms()
+	t.Classes = []Class{{"notice", Safe, 0}, {"order", Keyed, 2 * time.Second}, {"payout", Unsafe, 0}}
+	t.Slots = []int{2, 2}
+	return t
+}
+
+// story builds a history by hand: what a sender, faulty or not, would have been seen to do.
+type story struct {
+	events []history.Event
+	calls  uint64
+}
+
+func (s *story) add(e history.Event) { s.events = append(s.events, e) }
+
+func (s *story) taken(at time.Duration, id string, class int) {
+	s.add(history.Event{At: at, Kind: history.HandedIn, Partner: -1, ID: id, Case: len(id), Class: class, Life: 4 * time.Second})
+	s.add(history.Event{At: at + ms, Kind: history.Answered, Partner: -1, ID: id, State: history.Taken})
+}
+
+func (s *story) call(at time.Duration, ids ...string) uint64 {
+	s.calls++
+	s.add(history.Event{At: at + ms, Kind: history.CallBegan, Call: s.calls, Endpoint: "e", IDs: ids, First: at})
+	return s.calls
+}
+
+func (s *story) end(at time.Duration, call uint64, state string, wait time.Duration, fates ...string) {
+	s.add(history.Event{At: at, Kind: history.CallEnded, Call: call, State: state, Wait: wait, Fates: fates})
+}
+
+func (s *story) notice(at time.Duration, id, state string) {
+	s.add(history.Event{At: at, Kind: history.Noticed, Partner: -1, ID: id, State: state})
+}
+
+func (s *story) node(at time.Duration, k history.Kind, state string) {
+	s.add(history.Event{At: at, Kind: k, Partner: -1, State: state})
+}
+
+func (s *story) told(at time.Duration, state string) {
+	s.add(history.Event{At: at, Kind: history.Told, Endpoint: "e", State: state})
+}
+
+const ok = history.FateAccepted
+
+type told struct {
+	name string
+	want []Rule
+	tell func(*story)
+}
+
+// stories break the rules that they name and no others. Those next to each other differ in the one thing that makes
+// the breach.
+func stories() []told {
+	deliver := func(s *story, at time.Duration, id string) { s.end(at+50*ms, s.call(at, id), history.Accepted, 0, ok) }
+	return []told{
+		{"delivered", nil, func(s *story) { s.taken(0, "a", unsafe); deliver(s, 10*ms, "a") }},
+		{"given up with a notice", nil, func(s *story) { s.taken(0, "a", safe); s.notice(4200*ms, "a", history.Failed) }},
+		{"no end", []Rule{OneEnd}, func(s *story) { s.taken(0, "a", safe) }},
+		{"a late end", []Rule{OneEnd}, func(s *story) { s.taken(0, "a", safe); s.notice(4500*ms, "a", history.Failed) }},
+		{"an end just in time", nil, func(s *story) { s.taken(0, "a", safe); s.notice(4340*ms, "a", history.Failed) }},
+		{"no end, not taken", nil, func(s *story) {
+			s.add(history.Event{Kind: history.HandedIn, Partner: -1, ID: "a", Case: 1, Life: time.Second})
+			s.add(history.Event{At: ms, Kind: history.Answered, Partner: -1, ID: "a", State: history.Refused})
+		}},
+		{"a late end, owed over a restart", nil, func(s *story) {
+			s.taken(0, "a", safe)
+			s.node(3900*ms, history.Killed, "")
+			s.node(3901*ms, history.Exited, history.Asked)
+			s.node(4900*ms, history.Started, "")
+			s.node(5*time.Second, history.Ready, "")
+			s.notice(6400*ms, "a", history.Failed)
+		}},
+		{"too late over a restart", []Rule{OneEnd}, func(s *story) {
+			s.taken(0, "a", safe)
+			s.node(3900*ms, history.Killed, "")
+			s.node(4900*ms, history.Started, "")
+			s.node(5*time.Second, history.Ready, "")
+			s.notice(6600*ms, "a", history.Failed)
+		}},
+		{"no end, the folder lost", nil, func(s *story) {
+			s.taken(0, "a", safe)
+			s.node(ms*100, history.Killed, "")
+			s.node(101*ms, history.Lost, "")
+		}},
+		{"two ends that disagree", []Rule{OneEnd}, func(s *story) {
+			s.taken(0, "a", safe)
+			s.notice(time.Second, "a", history.Failed)
+			s.notice(2*time.Second, "a", history.Returned)
+		}},
+		{"one end told twice", nil, func(s *story) {
+			s.taken(0, "a", safe)
+			s.notice(time.Second, "a", history.Failed)
+			s.notice(2*time.Second, "a", history.Failed)
+		}},
+		{"delivered and a notice", nil, func(s *story) {
+			s.taken(0, "a", safe)
+			deliver(s, 10*ms, "a")
+			s.notice(time.Second, "a", history.Failed)
+		}},
+		{"sent after its notice", []Rule{Over}, func(s *story) {
+			s.taken(0, "a", safe)
+			s.notice(time.Second, "a", history.Failed)
+			deliver(s, 1100*ms, "a")
+		}},
+		{"sent after it was delivered", []Rule{Over}, func(s *story) { s.taken(0, "a", safe); deliver(s, 10*ms, "a"); deliver(s, time.Second, "a") }},
+		{"sent again over a restart", nil, func(s *story) {
+			s.taken(0, "a", safe)
+			deliver(s, 10*ms, "a")
+			s.node(100*ms, history.Killed, "")
+			s.node(900*ms, history.Started, "")
+			deliver(s, time.Second, "a")
+		}},
+		{"two copies out", []Rule{OneCopy}, func(s *story) {
+			s.taken(0, "a", safe)
+			first := s.call(10*ms, "a")
+			second := s.call(100*ms, "a")
+			s.end(200*ms, first, history.GivenUp, 0)
+			s.end(300*ms, second, history.Accepted, 0, ok)
+		}},
+		{"one after the other", nil, func(s *story) {
+			s.taken(0, "a", safe)
+			s.end(99*ms, s.call(10*ms, "a"), history.GivenUp, 0)
+			deliver(s, 100*ms, "a")
+		}},
+		{"a copy while a call has no end", []Rule{OneCopy}, func(s *story) { s.taken(0, "a", safe); s.call(10*ms, "a"); deliver(s, 100*ms, "a") }},
+		{"twice in one call", []Rule{OneCopy}, func(s *story) {
+			s.taken(0, "a", safe)
+			s.end(60*ms, s.call(10*ms, "a", "a"), history.Accepted, 0, ok, ok)
+		}},
+		{"a payout again that may have run", []Rule{Once}, func(s *story) {
+			s.taken(0, "a", unsafe)
+			s.end(60*ms, s.call(10*ms, "a"), history.AnswerCut, 0)
+			deliver(s, 100*ms, "a")
+		}},
+		{"a payout again after a fault in a batch", []Rule{Once}, func(s *story) {
+			s.taken(0, "a", unsafe)
+			s.end(60*ms, s.call(10*ms, "a"), history.Accepted, 0, history.FateFault)
+			deliver(s, 100*ms, "a")
+		}},
+		{"a payout again that was refused", nil, func(s *story) {
+			s.taken(0, "a", unsafe)
+			s.end(60*ms, s.call(10*ms, "a"), history.Full, 0)
+			s.end(160*ms, s.call(100*ms, "a"), history.Accepted, 0, history.FateDeferred)
+			deliver(s, 200*ms, "a")
+		}},
+		{"a payout handed back that may have run", []Rule{Once}, func(s *story) {
+			s.taken(0, "a", unsafe)
+			s.end(60*ms, s.call(10*ms, "a"), history.GivenUp, 0)
+			s.notice(time.Second, "a", history.Returned)
+		}},
+		{"a payout failed that may have run", nil, func(s *story) {
+			s.taken(0, "a", unsafe)
+			s.end(60*ms, s.call(10*ms, "a"), history.GivenUp, 0)
+			s.notice(time.Second, "a", history.Failed)
+		}},
+		{"a payout that took effect twice, under two ids", []Rule{Once}, func(s *story) {
+			s.taken(0, "a", unsafe)
+			deliver(s, 10*ms, "a")
+			s.add(history.Event{At: 30 * ms, Kind: history.Ran, Call: 1, ID: "a"})
+			s.taken(time.Second, "b", unsafe)
+			deliver(s, 1100*ms, "b")
+			s.add(history.Event{At: 1130 * ms, Kind: history.Ran, Call: 2, ID: "b"})
+		}},
+		{"an order again inside its window", nil, func(s *story) {
+			s.taken(0, "a", keyed)
+			s.end(60*ms, s.call(10*ms, "a"), history.GivenUp, 0)
+			deliver(s, 2*time.Second, "a")
+		}},
+		{"an order again after its window", []Rule{Window}, func(s *story) {
+			s.taken(0, "a", keyed)
+			s.end(60*ms, s.call(10*ms, "a"), history.GivenUp, 0)
+			deliver(s, 2100*ms, "a")
+		}},
+		{"an order again, refused before", nil, func(s *story) {
+			s.taken(0, "a", keyed)
+			s.end(60*ms, s.call(10*ms, "a"), history.Above, 0)
+			deliver(s, 3*time.Second, "a")
+		}},
+		{"to an endpoint that drains", []Rule{Drain}, func(s *story) {
+			s.told(0, history.Draining)
+			s.taken(time.Second, "a", safe)
+			deliver(s, 1100*ms, "a")
+		}},
+		{"within the grace", nil, func(s *story) { s.told(0, history.Deleted); s.taken(900*ms, "a", safe); deliver(s, 1040*ms, "a") }},
+		{"to one that serves again", nil, func(s *story) {
+			s.told(0, history.Draining)
+			s.told(500*ms, history.Serving)
+			s.taken(time.Second, "a", safe)
+			deliver(s, 1100*ms, "a")
+		}},
+		{"told while it was stopped", nil, func(s *story) {
+			s.node(0, history.Stopped, "")
+			s.told(100*ms, history.Draining)
+			s.node(5*time.Second, history.Resumed, "")
+			s.taken(5100*ms, "a", safe)
+			deliver(s, 5200*ms, "a")
+		}},
+		{"a wait not heeded", []Rule{Wait}, func(s *story) {
+			s.taken(0, "a", safe)
+			s.end(60*ms, s.call(10*ms, "a"), history.Above, 500*ms)
+			deliver(s, 300*ms, "a")
+		}},
+		{"a call on its way when the wait was told", nil, func(s *story) {
+			s.taken(0, "a", safe)
+			s.end(60*ms, s.call(10*ms, "a"), history.Above, 500*ms)
+			deliver(s, 150*ms, "a")
+		}},
+		{"after the wait", nil, func(s *story) {
+			s.taken(0, "a", safe)
+			s.end(60*ms, s.call(10*ms, "a"), history.Above, 500*ms)
+			deliver(s, 561*ms, "a")
+		}},
+		{"a wait that a restart ended", nil, func(s *story) {
+			s.taken(0, "a", safe)
+			s.end(60*ms, s.call(10*ms, "a"), history.Above, 2*time.Second)
+			s.node(100*ms, history.Killed, "")
+			s.node(700*ms, history.Started, "")
+			deliver(s, 800*ms, "a")
+		}},
+		{"a probe in a wait", nil, func(s *story) {
+			s.taken(0, "a", safe)
+			s.end(60*ms, s.call(10*ms, "a"), history.Above, 500*ms)
+			s.end(310*ms, s.call(300*ms), history.Accepted, 0)
+			deliver(s, 600*ms, "a")
+		}},
+		{"a cold partner pushed over by those who knew", []Rule{Cold}, func(s *story) {
+			s.add(history.Event{Kind: history.OutageBegan, Node: -1})
+			s.add(history.Event{At: 10 * ms, Kind: history.Unreached, Node: 0})
+			s.add(history.Event{At: time.Second, Kind: history.OutageEnded, Node: -1})
+			s.add(history.Event{At: 2 * time.Second, Kind: history.Fell, Node: -1, Pushes: map[int]float64{0: 20, 1: 10}})
+		}},
+		{"a cold partner pushed over by others", nil, func(s *story) {
+			s.add(history.Event{Kind: history.OutageBegan, Node: -1})
+			s.add(history.Event{At: 10 * ms, Kind: history.Unreached, Node: 0})
+			s.add(history.Event{At: time.Second, Kind: history.OutageEnded, Node: -1})
+			s.add(history.Event{At: 2 * time.Second, Kind: history.Fell, Node: -1, Pushes: map[int]float64{0: 10, 1: 20}})
+		}},
+		{"seven attempts", []Rule{Attempts}, func(s *story) {
+			s.taken(0, "a", safe)
+			for i := range 6 {
+				at := time.Duration(100*i) * ms
+				s.end(at+60*ms, s.call(at+10*ms, "a"), history.Full, 0)
+			}
+			deliver(s, 700*ms, "a")
+		}},
+		{"six attempts", nil, func(s *story) {
+			s.taken(0, "a", safe)
+			for i := range 5 {
+				at := time.Duration(100*i) * ms
+				s.end(at+60*ms, s.call(at+10*ms, "a"), history.Full, 0)
+			}
+			deliver(s, 700*ms, "a")
+		}},
+		{"three calls in two slots", []Rule{Slots}, func(s *story) {
+			for _, id := range []string{"a", "bb", "ccc"} {
+				s.taken(0, id, safe)
+			}
+			a, b, c := s.call(10*ms, "a"), s.call(11*ms, "bb"), s.call(12*ms, "ccc")
+			s.end(100*ms, a, history.Accepted, 0, ok)
+			s.end(100*ms, b, history.Accepted, 0, ok)
+			s.end(100*ms, c, history.Accepted, 0, ok)
+		}},
+		{"three calls in one slot's time", nil, func(s *story) {
+			for i, id := range []string{"a", "bb", "ccc"} {
+				s.taken(0, id, safe)
+				deliver(s, time.Duration(60*i+10)*ms, id)
+			}
+		}},
+		{"a message that nobody handed in", []Rule{Foreign}, func(s *story) { deliver(s, 10*ms, "a") }},
+		{"a message to another partner", []Rule{Foreign}, func(s *story) {
+			s.add(history.Event{Kind: history.HandedIn, Partner: -1, ID: "a", Case: 1, Dest: 1, Life: time.Second})
+			s.add(history.Event{At: ms, Kind: history.Answered, Partner: -1, ID: "a", State: history.Taken})
+			deliver(s, 10*ms, "a")
+		}},
+		{"a client without an answer", []Rule{Answer}, func(s *story) {
+			s.add(history.Event{Kind: history.HandedIn, Partner: -1, ID: "a", Case: 1, Life: time.Second})
+			s.add(history.Event{At: ms, Kind: history.Answered, Partner: -1, ID: "a", State: history.Broken})
+		}},
+		{"a client without an answer, at a kill", nil, func(s *story) {
+			s.add(history.Event{Kind: history.HandedIn, Partner: -1, ID: "a", Case: 1, Life: time.Second})
+			s.node(ms, history.Killed, "")
+			s.add(history.Event{At: 2 * ms, Kind: history.Answered, Partner: -1, ID: "a", State: history.Broken})
+		}},
+		{"a crash", []Rule{Alive}, func(s *story) { s.node(time.Second, history.Exited, history.Crashed) }},
+		{"an end that was asked for", nil, func(s *story) { s.node(time.Second, history.Exited, history.Asked) }},
+		{"a limit passed", []Rule{Alive}, func(s *story) { s.add(history.Event{At: 1, Kind: history.Exceeds, Note: "memory"}) }},
+	}
+}
+
+func TestFind(t *testing.T) {
+	for _, test := range stories() {
+		t.Run(test.name, func(t *testing.T) {
+			var s story
+			test.tell(&s)
+			s.add(history.Event{At: 20 * time.Second, Kind: history.End, Node: -1, Partner: -1})
+			history.Sort(s.events)
+			var got []Rule
+			for _, b := range Find(terms(), s.events) {
+				if !slices.Contains(got, b.Rule) {
+					got = append(got, b.Rule)
+				}
+				if b.Why == "" || len(b.Proof) == 0 {
+					t.Errorf("%v has no proof", b)
+				}
+			}
+			if !slices.Equal(got, test.want) {
+				t.Errorf("found %v, want %v: %v", got, test.want, Find(terms(), s.events))
+			}
+		})
+	}
+}
+
+// No rule is without a story that breaks it.
+func TestEveryRuleIsFound(t *testing.T) {
+	for _, rule := range Rules {
+		if !slices.ContainsFunc(stories(), func(s told) bool { return slices.Contains(s.want, rule) }) {
+			t.Errorf("no story breaks %s", rule)
+		}
+	}
+}
