--- /dev/null
+++ b/fleet/experiment/experiment_test.go
@@ -0,0 +1,262 @@
+package experiment
+
+import (
+	"encoding/json"
+	"errors"
+	"os"
+	"path/filepath"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"starlingusher/choice"
+	"starlingusher/internal/wire"
+)
+
+const small = `
+name = "small"
+length = "10s"
+[load]
+rate = "20..30"
+clumps = 0.2
+[[class]]
+name = "notice"
+share = 1
+aim = "1s"
+deadline = "3s"
+worth = 2
+effect = "safe"
+[[class]]
+name = "payout"
+share = 1
+aim = "1s"
+deadline = "3s"
+worth = 5
+effect = "unsafe"
+kinds = ["bulk"]
+[[partner]]
+kind = "bulk"
+count = "1..3"
+batch = "2..9"
+[[partner]]
+kind = "hook"
+count = 2
+[[fault]]
+kind = "burst"
+at = "2s..3s"
+for = "1s"
+size = 2
+[[fault]]
+kind = "restart"
+at = "1s"
+step = "2s"
+[[fault]]
+kind = "shut"
+at = "1s..5s"
+for = "1s..2s"
+part = 0.3
+`
+
+func parse(t *testing.T, text string) File {
+	t.Helper()
+	f, err := Parse([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+func TestSameSeedSamePlan(t *testing.T) {
+	a, b, c := parse(t, small).Draw(7, 0), parse(t, small).Draw(7, 0), parse(t, small).Draw(8, 0)
+	if !reflect.DeepEqual(a, b) {
+		t.Error("one seed drew two plans")
+	}
+	if reflect.DeepEqual(a.Arrivals, c.Arrivals) || reflect.DeepEqual(a.Faults, c.Faults) {
+		t.Error("two seeds drew the same arrivals or faults")
+	}
+}
+
+// A change to one part of an experiment leaves what is drawn for the others as it was.
+func TestPartsAreDrawnApart(t *testing.T) {
+	a := parse(t, small).Draw(7, 0)
+	b := parse(t, small+"[[fault]]\nkind = \"stop\"\nat = \"1s\"\nfor = \"1s\"\nshare = 0.5\n").Draw(7, 0)
+	if !reflect.DeepEqual(a.Arrivals, b.Arrivals) || !reflect.DeepEqual(a.Partners, b.Partners) {
+		t.Error("another fault changed the arrivals or the partners")
+	}
+	more := parse(t, small).Draw(7, 9)
+	if len(more.Nodes) != 9 || !reflect.DeepEqual(a.Partners, more.Partners) {
+		t.Errorf("%d nodes; the partners changed with them: %v", len(more.Nodes), !reflect.DeepEqual(a.Partners, more.Partners))
+	}
+}
+
+func TestDraw(t *testing.T) {
+	for seed := range uint64(20) {
+		p := parse(t, small).Draw(seed, 0)
+		if !slices.IsSortedFunc(p.Arrivals, func(a, b Arrival) int { return int(a.At - b.At) }) {
+			t.Fatal("arrivals out of order")
+		}
+		if n := len(p.Arrivals); n < 120 || n > 600 {
+			t.Errorf("seed %d: %d arrivals at 20 to 30 a second in 10 s", seed, n)
+		}
+		ids := map[string]bool{}
+		for i, a := range p.Arrivals {
+			kind := p.Kinds[p.Partners[a.Dest].Kind]
+			if p.Classes[a.Class].Name == "payout" && kind != "bulk" {
+				t.Fatalf("seed %d: a payout for a partner of kind %s", seed, kind)
+			}
+			for try := range 3 {
+				ids[p.ID(i+1, try)] = true
+			}
+		}
+		if len(ids) != 3*len(p.Arrivals) {
+			t.Errorf("seed %d: ids come twice", seed)
+		}
+		sum := 0.0
+		for _, q := range p.Partners {
+			sum += q.Weight
+			if err := q.Model.Check(); err != nil {
+				t.Errorf("seed %d: %v", seed, err)
+			}
+			if q.Model.Batch != p.Partners[0].Model.Batch && p.Kinds[q.Kind] == "bulk" {
+				t.Errorf("seed %d: one kind, two sizes of batches", seed)
+			}
+		}
+		if sum < 0.999 || sum > 1.001 {
+			t.Errorf("seed %d: the partners' traffic sums up to %v", seed, sum)
+		}
+		restarts := 0
+		for _, x := range p.Faults {
+			if x.Kind == "restart" {
+				if want := time.Second + time.Duration(restarts)*2*time.Second; x.At != want || len(x.Nodes) != 1 {
+					t.Errorf("restart %d at %v of %v", restarts, x.At, x.Nodes)
+				}
+				restarts++
+			}
+			if x.Kind == "shut" && len(x.Partners) == 0 {
+				t.Error("a part of 0.3 is no partner")
+			}
+		}
+		if restarts != len(p.Nodes) {
+			t.Errorf("%d restarts of %d nodes", restarts, len(p.Nodes))
+		}
+	}
+}
+
+// The settings are those that a node reads.
+func TestSettings(t *testing.T) {
+	p := parse(t, small).Draw(1, 0)
+	raw, err := p.Settings(1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := wire.Settings(raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Fleet != 3 || s.Slots != p.Nodes[1].Slots || s.MaxAttempts != 6 || !s.MayProbe || s.DrainGrace != time.Second || !s.Weighted {
+		t.Errorf("got %+v", s)
+	}
+	if len(s.Classes) != 2 || s.Classes[1].Effect != choice.Unsafe || s.Classes[0].Worth != 2 || s.Classes[0].Deadline != 3*time.Second {
+		t.Errorf("classes %+v", s.Classes)
+	}
+	if len(s.Kinds) != 2 || s.Kinds[0].Batch != p.Partners[0].Model.Batch {
+		t.Errorf("kinds %+v", s.Kinds)
+	}
+	if !json.Valid(raw) {
+		t.Error("not JSON")
+	}
+}
+
+// Whatever is wrong is told with its line, before anything starts.
+func TestErrors(t *testing.T) {
+	for _, test := range []struct {
+		name, change, to string
+		line             int
+		says             string
+	}{
+		{"an unknown name", "clumps = 0.2", "clumbs = 0.2", 6, "clumbs"},
+		{"no number", `rate = "20..30"`, `rate = "many"`, 5, "no number"},
+		{"a range reversed", `rate = "20..30"`, `rate = "30..20"`, 5, "wrong way round"},
+		{"no time", `length = "10s"`, `length = "10"`, 3, "no length of time"},
+		{"out of range", "clumps = 0.2", "clumps = 2", 6, "from 0 to 0.9"},
+		{"an unknown effect", `effect = "unsafe"`, `effect = "none"`, 20, "effect is"},
+		{"an unknown kind of partner", `kinds = ["bulk"]`, `kinds = ["bulky"]`, 21, "bulky"},
+		{"an unknown fault", `kind = "burst"`, `kind = "bursts"`, 30, "bursts"},
+		{"a fault too late", `at = "1s"`, `at = "11s"`, 36, "after the last message"},
+		{"a fault without a size", "size = 2\n", "", 29, "needs a size"},
+		{"a partner that is not there", "part = 0.3", "partners = [9]", 42, "no partner 9"},
+		{"nodes for a partner's fault", "part = 0.3", "nodes = [1]", 42, "not aimed at nodes"},
+		{"no TOML", "[load]", "[load", 4, "expected"},
+		{"a limit of no kind", "count = 2", "limit = \"some\"", 28, "limit is"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			if !strings.Contains(small, test.change) {
+				t.Fatal("the change is to nothing")
+			}
+			_, err := Parse([]byte(strings.Replace(small, test.change, test.to, 1)))
+			var e *Error
+			if !errors.As(err, &e) {
+				t.Fatalf("got %v", err)
+			}
+			if e.Line != test.line || !strings.Contains(err.Error(), test.says) {
+				t.Errorf("got %q, want line %d and %q", err, test.line, test.says)
+			}
+		})
+	}
+	if _, err := Parse(nil); err == nil {
+		t.Error("nothing at all is an experiment")
+	}
+}
+
+// The experiments that come with the project can be read and drawn.
+func TestExperiments(t *testing.T) {
+	files, err := filepath.Glob("../../experiments/*.toml")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no experiments: %v", err)
+	}
+	for _, path := range files {
+		raw, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f := parse(t, string(raw))
+		if want := strings.TrimSuffix(filepath.Base(path), ".toml"); f.Name != want || f.About == "" {
+			t.Errorf("%s is named %q, about %q", path, f.Name, f.About)
+		}
+		for seed := range uint64(5) {
+			if p := f.Draw(seed, 0); len(p.Arrivals) == 0 {
+				t.Errorf("%s, seed %d: no messages", path, seed)
+			}
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(small))
+	f.Add([]byte("a = 1\n[b]\nc = [1, 2]"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		file, err := Parse(text)
+		if err != nil {
+			return
+		}
+		if file.Fleet.Nodes.High > 50 || file.Load.Rate.High > 100 || file.Length.High > time.Minute || len(file.Partners) > 20 {
+			return // drawn it is long
+		}
+		for _, p := range file.Partners {
+			if p.Count.High > 20 || p.LeastRate.High > 1000 || p.Headroom.High > 10 {
+				return
+			}
+		}
+		for _, x := range file.Faults {
+			if x.Kind == "burst" && x.Size.High > 10 {
+				return
+			}
+		}
+		if file.Load.ClumpSize.High > time.Minute {
+			return
+		}
+		file.Draw(1, 0)
+	})
+}
--- /dev/null
+++ b/fleet/experiment/value.go
@@ -0,0 +1,71 @@
+package experiment
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Number is a number or a range "LOW..HIGH", from which each seed draws one evenly.
+type Number struct{ Low, High float64 }
+
+// UnmarshalText reads a number or a range.
+func (n *Number) UnmarshalText(text []byte) error {
+	low, high, ranged := strings.Cut(string(text), "..")
+	var err error
+	if n.Low, err = strconv.ParseFloat(strings.TrimSpace(low), 64); err != nil {
+		return fmt.Errorf("%q is no number: write 3, 0.5 or \"2..4\"", text)
+	}
+	n.High = n.Low
+	if ranged {
+		if n.High, err = strconv.ParseFloat(strings.TrimSpace(high), 64); err != nil {
+			return fmt.Errorf("%q is no range of numbers: write \"2..4\"", text)
+		}
+	}
+	if n.High < n.Low {
+		return fmt.Errorf("the range %q has its ends the wrong way round", text)
+	}
+	return nil
+}
+
+func (n Number) draw(r *rand.Rand) float64 { return n.Low + (n.High-n.Low)*r.Float64() }
+
+// whole draws a whole number; both ends are as likely as the others.
+func (n Number) whole(r *rand.Rand) int {
+	low, high := int(n.Low+0.5), int(n.High+0.5)
+	return low + r.IntN(high-low+1)
+}
+
+func (n Number) within(low, high float64) bool { return n.Low >= low && n.High <= high }
+
+func fixed(v float64) Number { return Number{v, v} }
+
+// Span is a length of time like "1.5s", or a range "1s..2s", from which each seed draws one evenly.
+type Span struct{ Low, High time.Duration }
+
+// UnmarshalText reads a length of time or a range.
+func (s *Span) UnmarshalText(text []byte) error {
+	low, high, ranged := strings.Cut(string(text), "..")
+	var err error
+	if s.Low, err = time.ParseDuration(strings.TrimSpace(low)); err != nil {
+		return fmt.Errorf("%q is no length of time: write \"250ms\", \"1.5s\" or \"1s..2s\"", text)
+	}
+	s.High = s.Low
+	if ranged {
+		if s.High, err = time.ParseDuration(strings.TrimSpace(high)); err != nil {
+			return fmt.Errorf("%q is no range of times: write \"1s..2s\"", text)
+		}
+	}
+	if s.High < s.Low || s.Low < 0 {
+		return fmt.Errorf("the time %q is under 0 or has its ends the wrong way round", text)
+	}
+	return nil
+}
+
+func (s Span) draw(r *rand.Rand) time.Duration {
+	return s.Low + time.Duration(r.Float64()*float64(s.High-s.Low))
+}
+
+func fixedSpan(d time.Duration) Span { return Span{d, d} }
