Judge: read the beginnings of calls before their ends

A call that a node gives up while its request is held by a cut ends before the partner sees it begin. A story of that kind is in the tests, and fails without the change.

--- a/fleet/judge/judge.go
+++ b/fleet/judge/judge.go
@@ -184,6 +184,14 @@
 	if n := len(j.events); n > 0 {
 		j.end = j.events[n-1].At
 	}
+	// A call that was given up on its way ends before it begins at the partner, so beginnings are read first.
+	for _, e := range j.events {
+		if e.Kind == history.CallBegan {
+			c := &call{began: e, open: true}
+			j.calls[e.Call] = c
+			j.order = append(j.order, c)
+		}
+	}
 	for _, e := range j.events {
 		switch e.Kind {
 		case history.HandedIn:
@@ -196,12 +204,9 @@
 				m.taken = &e
 			}
 		case history.CallBegan:
-			c := &call{began: e, open: true}
-			j.calls[e.Call] = c
-			j.order = append(j.order, c)
 			for _, id := range e.IDs {
 				if m := j.messages[id]; m != nil {
-					m.calls = append(m.calls, c)
+					m.calls = append(m.calls, j.calls[e.Call])
 				}
 			}
 		case history.CallEnded:
--- a/fleet/judge/judge_test.go
+++ b/fleet/judge/judge_test.go
@@ -140,6 +140,13 @@
 			deliver(s, 100*ms, "a")
 		}},
 		{"a copy while a call has no end", []Rule{OneCopy}, func(s *story) { s.taken(0, "a", safe); s.call(10*ms, "a"); deliver(s, 100*ms, "a") }},
+		{"a call given up on its way, and another one", nil, func(s *story) {
+			s.taken(0, "a", safe)
+			s.calls++
+			s.add(history.Event{At: 500 * ms, Kind: history.CallBegan, Call: s.calls, Endpoint: "e", IDs: []string{"a"}, First: 10 * ms})
+			s.end(100*ms, s.calls, history.GivenUp, 0)
+			deliver(s, 110*ms, "a")
+		}},
 		{"twice in one call", []Rule{OneCopy}, func(s *story) {
 			s.taken(0, "a", safe)
 			s.end(60*ms, s.call(10*ms, "a", "a"), history.Accepted, 0, ok, ok)
