--- /dev/null
+++ b/internal/lab/relay/relay.go
@@ -0,0 +1,534 @@
+// Package relay stands on a link between two processes and gives it weather: delay, loss, cuts, silence, resets, a cap
+// on its rate. A TCP link passes connections on, a UDP link datagrams.
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Weather is what a link does to what passes. The zero value passes all at once.
+type Weather struct {
+	Delay   time.Duration // one way
+	Jitter  float64       // of the delay, evenly up to this share more
+	Loss    float64       // share of pieces: over TCP they come resendAfter later, over UDP never
+	Rate    float64       // bytes a second of each connection and way; 0: any
+	CutOut  bool          // nothing passes from the one who dials, new connections included
+	CutBack bool          // nothing passes back to it
+	Swallow float64       // share of connections whose way back is cut
+}
+
+const (
+	resendAfter = 200 * time.Millisecond // of TCP's first time-out
+	maxPiece    = 16 << 10
+	maxPieces   = 64 // on the way, of a connection's one direction
+	acceptQueue = 1024
+
+	fillerTimeout = 30 * time.Millisecond // of a dial that the full queue leaves without an answer
+)
+
+// fillerIP is where fillers come from, which is how they are told from others.
+var fillerIP = net.IPv4(127, 255, 255, 2)
+
+// Link listens at one address and passes each connection on to where dial leads. Close ends it and all that it holds.
+type Link struct {
+	addr string
+	dial func(context.Context, *Pair) (net.Conn, error)
+	late func(time.Duration) // is told how late each piece left; may be nil
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	mu      sync.Mutex
+	ln      *net.TCPListener // nil while connections are refused
+	held    bool             // connections neither come up nor are refused
+	weather Weather
+	changed chan struct{} // closed at each change of weather
+	pairs   map[*Pair]bool
+	fillers []net.Conn // they keep the accept queue full
+	rand    *rand.Rand
+}
+
+// Listen makes a link. Its address is host:port; where dial leads is asked for each connection. The seed is for jitter
+// and loss.
+func Listen(addr string, seed uint64, dial func(context.Context, *Pair) (net.Conn, error), late func(time.Duration)) (*Link, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &Link{
+		addr: addr, dial: dial, late: late, ctx: ctx, cancel: cancel, changed: make(chan struct{}), pairs: map[*Pair]bool{},
+		rand: rand.New(rand.NewPCG(seed, 1)),
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err := l.listen(); err != nil {
+		cancel()
+		return nil, err
+	}
+	return l, nil
+}
+
+// To leads to a TCP address.
+func To(addr string) func(context.Context, *Pair) (net.Conn, error) {
+	return func(ctx context.Context, _ *Pair) (net.Conn, error) {
+		var d net.Dialer
+		return d.DialContext(ctx, "tcp", addr)
+	}
+}
+
+// Addr is where it listens.
+func (l *Link) Addr() string { return l.addr }
+
+// listen opens the listener; the lock is held.
+func (l *Link) listen() error {
+	ln, err := net.Listen("tcp", l.addr)
+	if err != nil {
+		return fmt.Errorf("link: %w", err)
+	}
+	l.ln = ln.(*net.TCPListener)
+	l.addr = ln.Addr().String()
+	l.wg.Go(func() { l.accept(l.ln) })
+	return nil
+}
+
+func (l *Link) accept(ln *net.TCPListener) {
+	for {
+		nc, err := ln.Accept()
+		if err != nil {
+			if l.ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return
+			}
+			changed, held := l.isHeld()
+			if held {
+				select {
+				case <-changed:
+				case <-l.ctx.Done():
+					return
+				}
+			}
+			continue
+		}
+		if from, ok := nc.RemoteAddr().(*net.TCPAddr); ok && from.IP.Equal(fillerIP) {
+			nc.Close()
+			continue
+		}
+		l.wg.Go(func() { l.pass(nc.(*net.TCPConn)) })
+	}
+}
+
+func (l *Link) isHeld() (<-chan struct{}, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.changed, l.held
+}
+
+// Set changes the weather.
+func (l *Link) Set(w Weather) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.weather = w
+	cut := w.CutOut || w.CutBack
+	if cut != l.held {
+		l.hold(cut)
+	}
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// hold lets new connections neither come up nor be refused, as on a path that is cut: the accept queue is kept full,
+// so that the kernel drops what asks for a connection, and those asking ask again a second later. The lock is held.
+func (l *Link) hold(on bool) {
+	l.held = on
+	if l.ln == nil {
+		return
+	}
+	raw, err := l.ln.SyscallConn()
+	if err != nil {
+		return
+	}
+	backlog := acceptQueue
+	if on {
+		backlog = 0
+	}
+	raw.Control(func(fd uintptr) { syscall.Listen(int(fd), backlog) })
+	if !on {
+		l.ln.SetDeadline(time.Time{})
+		l.dropFillers()
+		return
+	}
+	l.ln.SetDeadline(time.Unix(1, 0))
+	ln := l.ln
+	l.wg.Go(func() { // until the queue takes no more
+		for range 4 {
+			d := net.Dialer{Timeout: fillerTimeout, LocalAddr: &net.TCPAddr{IP: fillerIP}}
+			c, err := d.DialContext(l.ctx, "tcp", ln.Addr().String())
+			if err != nil {
+				return
+			}
+			l.mu.Lock()
+			held := l.held
+			if held {
+				l.fillers = append(l.fillers, c)
+			}
+			l.mu.Unlock()
+			if !held {
+				c.Close()
+				return
+			}
+		}
+	})
+}
+
+// dropFillers ends them; the lock is held.
+func (l *Link) dropFillers() {
+	for _, c := range l.fillers {
+		c.Close()
+	}
+	l.fillers = nil
+}
+
+// Refuse closes the address, or opens it again. Open connections stay.
+func (l *Link) Refuse(on bool) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case on && l.ln != nil:
+		l.ln.Close()
+		l.ln = nil
+	case !on && l.ln == nil && l.ctx.Err() == nil:
+		if err := l.listen(); err != nil {
+			return err
+		}
+		if l.held {
+			l.hold(true)
+		}
+	}
+	return nil
+}
+
+// Reset breaks all open connections.
+func (l *Link) Reset() {
+	for _, p := range l.open() {
+		p.Reset()
+	}
+}
+
+func (l *Link) open() []*Pair {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]*Pair, 0, len(l.pairs))
+	for p := range l.pairs {
+		out = append(out, p)
+	}
+	return out
+}
+
+// Close ends the link and returns when nothing of it is left.
+func (l *Link) Close() {
+	l.cancel()
+	l.mu.Lock()
+	if l.ln != nil {
+		l.ln.Close()
+		l.ln = nil
+	}
+	l.dropFillers()
+	l.mu.Unlock()
+	l.Reset()
+	l.wg.Wait()
+}
+
+// piece is something on its way.
+type piece struct {
+	data []byte
+	due  time.Time
+	end  bool // the sender has ended
+}
+
+// Pair is one connection and its continuation.
+type Pair struct {
+	link    *Link
+	near    *net.TCPConn // of the one who dialed
+	far     net.Conn
+	swallow float64 // drawn once, against the weather's
+	gone    chan struct{}
+	once    sync.Once
+
+	mu        sync.Mutex
+	quiet     bool      // nothing has come from near since something last went back to it
+	began     time.Time // when something did
+	nearEnded time.Time
+	back      int64 // bytes that far has written,
+	reached   int64 // and of those the ones that near was sent
+	waiting   []waiter
+}
+
+type waiter struct {
+	upTo int64
+	tell func(at time.Time, reached bool)
+}
+
+func (l *Link) pass(near *net.TCPConn) {
+	p := &Pair{link: l, near: near, gone: make(chan struct{}), quiet: true}
+	near.SetNoDelay(true)
+	l.mu.Lock()
+	p.swallow = l.rand.Float64()
+	if l.ctx.Err() != nil {
+		l.mu.Unlock()
+		near.Close()
+		return
+	}
+	l.pairs[p] = true
+	l.mu.Unlock()
+	defer func() {
+		l.mu.Lock()
+		delete(l.pairs, p)
+		l.mu.Unlock()
+	}()
+	far, err := l.dial(l.ctx, p)
+	if err != nil {
+		p.Reset()
+		return
+	}
+	p.mu.Lock()
+	p.far = far
+	p.mu.Unlock()
+	select {
+	case <-p.gone: // it was reset meanwhile
+		far.Close()
+		return
+	default:
+	}
+	out, back := make(chan piece, maxPieces), make(chan piece, maxPieces)
+	var pumps sync.WaitGroup
+	pumps.Go(func() { p.read(near, out, p.heard, p.ended) })
+	pumps.Go(func() { p.write(far, out, func(w Weather) bool { return w.CutOut }, nil) })
+	pumps.Go(func() { p.read(far, back, nil, nil) })
+	pumps.Go(func() {
+		p.write(near, back, func(w Weather) bool { return w.CutBack || p.swallow < w.Swallow }, p.sent)
+	})
+	pumps.Wait()
+	p.end(false)
+}
+
+// end closes both sides, near with a reset if hard.
+func (p *Pair) end(hard bool) {
+	p.once.Do(func() {
+		if hard {
+			p.near.SetLinger(0)
+		}
+		close(p.gone)
+		p.near.Close()
+		p.mu.Lock()
+		if p.far != nil {
+			p.far.Close()
+		}
+		waiting := p.waiting
+		p.waiting = nil
+		at := time.Now()
+		if !p.nearEnded.IsZero() {
+			at = p.nearEnded
+		}
+		p.mu.Unlock()
+		for _, w := range waiting {
+			w.tell(at, false)
+		}
+	})
+}
+
+// Reset breaks the connection; the one who dialed sees a reset.
+func (p *Pair) Reset() { p.end(true) }
+
+// Began is when the first byte came of what was sent last by the one who dialed.
+func (p *Pair) Began() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.began
+}
+
+// NearEnded is when the one who dialed ended the connection, as the link saw it; the zero time if it has not.
+func (p *Pair) NearEnded() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.nearEnded
+}
+
+// WhenReached calls tell once all that far has written so far was sent to near, or the connection has ended without it.
+func (p *Pair) WhenReached(tell func(at time.Time, reached bool)) {
+	p.mu.Lock()
+	select {
+	case <-p.gone:
+		at := p.nearEnded
+		p.mu.Unlock()
+		if at.IsZero() {
+			at = time.Now()
+		}
+		tell(at, false)
+		return
+	default:
+	}
+	if p.reached >= p.back {
+		p.mu.Unlock()
+		tell(time.Now(), true)
+		return
+	}
+	p.waiting = append(p.waiting, waiter{p.back, tell})
+	p.mu.Unlock()
+}
+
+func (p *Pair) heard(int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.quiet {
+		p.quiet, p.began = false, time.Now()
+	}
+}
+
+func (p *Pair) ended() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.nearEnded.IsZero() {
+		p.nearEnded = time.Now()
+	}
+}
+
+// Pipe makes the far side of a pair whose other end is served in this process: here is for the link, there for the one
+// who serves. Only such a pair can tell WhenReached.
+func (p *Pair) Pipe() (here, there net.Conn) {
+	here, there = net.Pipe()
+	return here, &counted{there, p}
+}
+
+// counted counts what is written before it can be read.
+type counted struct {
+	net.Conn
+	of *Pair
+}
+
+func (c *counted) Write(b []byte) (int, error) {
+	c.of.mu.Lock()
+	c.of.back += int64(len(b))
+	c.of.mu.Unlock()
+	return c.Conn.Write(b)
+}
+
+// sent notes that so much has been written to near, and whether near was still there when that began: it may well end
+// as soon as it has read the last of it.
+func (p *Pair) sent(n int, reached bool) {
+	now := time.Now()
+	p.mu.Lock()
+	if !reached {
+		now = p.nearEnded
+	}
+	p.reached += int64(n)
+	p.quiet = true
+	var due []waiter
+	for len(p.waiting) > 0 && p.waiting[0].upTo <= p.reached {
+		due = append(due, p.waiting[0])
+		p.waiting = p.waiting[1:]
+	}
+	p.mu.Unlock()
+	for _, w := range due {
+		w.tell(now, reached)
+	}
+}
+
+// read takes pieces from one side until it ends.
+func (p *Pair) read(from net.Conn, to chan<- piece, seen func(int), ended func()) {
+	defer close(to)
+	buf := make([]byte, maxPiece)
+	for {
+		n, err := from.Read(buf)
+		if n > 0 {
+			if seen != nil {
+				seen(n)
+			}
+			data := append([]byte(nil), buf[:n]...)
+			if !p.put(to, piece{data: data, due: p.link.due(n)}) {
+				return
+			}
+		}
+		if err != nil {
+			if ended != nil {
+				ended()
+			}
+			p.put(to, piece{end: true, due: p.link.due(0)})
+			return
+		}
+	}
+}
+
+func (p *Pair) put(to chan<- piece, x piece) bool {
+	select {
+	case to <- x:
+		return true
+	case <-p.gone:
+		return false
+	}
+}
+
+// due draws when a piece arrives.
+func (l *Link) due(size int) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	w := l.weather
+	d := time.Duration(float64(w.Delay) * (1 + w.Jitter*l.rand.Float64()))
+	if w.Loss > 0 && l.rand.Float64() < w.Loss {
+		d += resendAfter
+	}
+	if w.Rate > 0 {
+		d += time.Duration(float64(size) / w.Rate * float64(time.Second))
+	}
+	return time.Now().Add(d)
+}
+
+// write gives pieces to the other side in their order, each when it is due and nothing cuts its way.
+func (p *Pair) write(to io.Writer, from <-chan piece, cut func(Weather) bool, sent func(n int, reached bool)) {
+	defer p.end(false)
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for x := range from {
+		waited := false
+		if d := time.Until(x.due); d > 0 {
+			timer.Reset(d)
+			select {
+			case <-timer.C:
+			case <-p.gone:
+				return
+			}
+			waited = true
+		}
+		for {
+			p.link.mu.Lock()
+			w, changed := p.link.weather, p.link.changed
+			p.link.mu.Unlock()
+			if !cut(w) {
+				break
+			}
+			waited = false
+			select {
+			case <-changed:
+			case <-p.gone:
+				return
+			}
+		}
+		if waited && p.link.late != nil {
+			p.link.late(time.Since(x.due))
+		}
+		if x.end {
+			return
+		}
+		there := p.NearEnded().IsZero()
+		if _, err := to.Write(x.data); err != nil {
+			return
+		}
+		if sent != nil {
+			sent(len(x.data), there)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/relay/relay_test.go
@@ -0,0 +1,296 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+)
+
+const patience = 30 * time.Second // for what must happen; nothing is asserted of how fast
+
+// echo answers each line with itself.
+func echo(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer nc.Close()
+				r := bufio.NewReader(nc)
+				for {
+					line, err := r.ReadString('\n')
+					if err != nil {
+						return
+					}
+					io.WriteString(nc, line)
+				}
+			}()
+		}
+	}()
+	t.Cleanup(func() { ln.Close(); <-done })
+	return ln.Addr().String()
+}
+
+func link(t *testing.T, target string) *Link {
+	t.Helper()
+	l, err := Listen("127.0.0.1:0", 1, To(target), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(l.Close)
+	return l
+}
+
+func dial(t *testing.T, addr string) net.Conn {
+	t.Helper()
+	nc, err := net.DialTimeout("tcp", addr, patience)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { nc.Close() })
+	nc.SetDeadline(time.Now().Add(patience))
+	return nc
+}
+
+func says(t *testing.T, nc net.Conn, line string) {
+	t.Helper()
+	if _, err := io.WriteString(nc, line+"\n"); err != nil {
+		t.Fatal(err)
+	}
+	hears(t, nc, line)
+}
+
+func hears(t *testing.T, nc net.Conn, line string) {
+	t.Helper()
+	got := make([]byte, len(line)+1)
+	if _, err := io.ReadFull(nc, got); err != nil || string(got) != line+"\n" {
+		t.Fatalf("got %q, %v; want %q", got, err, line)
+	}
+}
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func TestPassesAndDelays(t *testing.T) {
+	l := link(t, echo(t))
+	nc := dial(t, l.Addr())
+	says(t, nc, "one")
+	const delay = 30 * time.Millisecond
+	l.Set(Weather{Delay: delay, Jitter: 0.5})
+	began := time.Now()
+	says(t, nc, "two")
+	if took := time.Since(began); took < 2*delay {
+		t.Errorf("there and back in %v, each way takes %v", took, delay)
+	}
+}
+
+func TestRate(t *testing.T) {
+	l := link(t, echo(t))
+	l.Set(Weather{Rate: 1000})
+	nc := dial(t, l.Addr())
+	began := time.Now()
+	says(t, nc, string(make([]byte, 99)))
+	if took := time.Since(began); took < 200*time.Millisecond {
+		t.Errorf("100 bytes there and back at 1000 bytes a second in %v", took)
+	}
+}
+
+// What a cut holds back arrives when the path is whole again, in its order; a new connection neither comes up nor is
+// refused meanwhile.
+func TestCut(t *testing.T) {
+	l := link(t, echo(t))
+	nc := dial(t, l.Addr())
+	says(t, nc, "before")
+	l.Set(Weather{CutOut: true, CutBack: true})
+	io.WriteString(nc, "in the cut\nand more\n")
+	up := make(chan error, 1)
+	go func() {
+		late, err := net.DialTimeout("tcp", l.Addr(), patience)
+		if err == nil {
+			late.SetDeadline(time.Now().Add(patience))
+			io.WriteString(late, "late\n")
+			_, err = io.ReadFull(late, make([]byte, 5))
+			late.Close()
+		}
+		up <- err
+	}()
+	nc.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+	if n, err := nc.Read(make([]byte, 10)); n > 0 || err == nil {
+		t.Fatalf("%d bytes came through a cut, %v", n, err)
+	}
+	select {
+	case err := <-up:
+		t.Fatalf("a connection came up and was answered over a cut, or was refused: %v", err)
+	default:
+	}
+	l.Set(Weather{})
+	nc.SetReadDeadline(time.Now().Add(patience))
+	hears(t, nc, "in the cut")
+	hears(t, nc, "and more")
+	if err := <-up; err != nil {
+		t.Errorf("the connection begun in the cut: %v", err)
+	}
+}
+
+// Cut on its way back, a call arrives and its answer does not.
+func TestOneWay(t *testing.T) {
+	for name, w := range map[string]Weather{"cut": {CutBack: true}, "swallowed": {Swallow: 1}} {
+		t.Run(name, func(t *testing.T) {
+			came := make(chan string, 10)
+			up := make(chan *Pair, 1)
+			l, err := Listen("127.0.0.1:0", 1, func(_ context.Context, p *Pair) (net.Conn, error) {
+				here, there := p.Pipe()
+				up <- p
+				go func() {
+					line, _ := bufio.NewReader(there).ReadString('\n')
+					came <- line
+					io.WriteString(there, "answer\n")
+					p.WhenReached(func(_ time.Time, reached bool) { came <- fmt.Sprint(reached) })
+				}()
+				return here, nil
+			}, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			nc := dial(t, l.Addr())
+			pair := <-up // accepted, so that the cut finds it open
+			l.Set(w)
+			io.WriteString(nc, "call\n")
+			if got := <-came; got != "call\n" {
+				t.Fatalf("got %q", got)
+			}
+			nc.Close() // the one who waits gives up
+			for pair.NearEnded().IsZero() {
+				time.Sleep(time.Millisecond)
+			}
+			if w.CutBack {
+				l.Set(Weather{})
+			}
+			if got := <-came; got != "false" {
+				t.Errorf("the answer reached who had gone: %v", got)
+			}
+		})
+	}
+}
+
+func TestResetAndRefuse(t *testing.T) {
+	l := link(t, echo(t))
+	nc := dial(t, l.Addr())
+	says(t, nc, "one")
+	l.Reset()
+	if _, err := nc.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("after a reset: %v", err)
+	}
+	if err := l.Refuse(true); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := net.DialTimeout("tcp", l.Addr(), patience); !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Errorf("while refused: %v", err)
+	}
+	if err := l.Refuse(false); err != nil {
+		t.Fatal(err)
+	}
+	says(t, dial(t, l.Addr()), "two")
+}
+
+// A call is told apart from the one before it on its connection, and its answer's arrival is seen.
+func TestPairWatchesCalls(t *testing.T) {
+	reached := make(chan time.Time, 1)
+	began := make(chan time.Time, 2)
+	l, err := Listen("127.0.0.1:0", 1, func(_ context.Context, p *Pair) (net.Conn, error) {
+		here, there := p.Pipe()
+		go func() {
+			r := bufio.NewReader(there)
+			for {
+				if _, err := r.ReadString('\n'); err != nil {
+					return
+				}
+				began <- p.Began()
+				io.WriteString(there, "answer\n")
+				p.WhenReached(func(at time.Time, ok bool) {
+					if ok {
+						reached <- at
+					}
+				})
+			}
+		}()
+		return here, nil
+	}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	nc := dial(t, l.Addr())
+	var last time.Time
+	for range 2 {
+		io.WriteString(nc, "call\n")
+		hears(t, nc, "answer")
+		b, r := <-began, <-reached
+		if b.Before(last) || r.Before(b) {
+			t.Errorf("began %v, reached %v, the one before reached %v", b, r, last)
+		}
+		last = r
+	}
+}
+
+func TestDatagrams(t *testing.T) {
+	target, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer target.Close()
+	d, err := ListenDatagrams("127.0.0.1:0", target.LocalAddr().String(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer d.Close()
+	nc, err := net.Dial("udp", d.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	buf := make([]byte, 100)
+	round := func(text string) {
+		t.Helper()
+		io.WriteString(nc, text)
+		target.SetReadDeadline(time.Now().Add(patience))
+		n, from, err := target.ReadFrom(buf)
+		if err != nil || string(buf[:n]) != text {
+			t.Fatalf("got %q, %v", buf[:n], err)
+		}
+		target.WriteTo([]byte("back "+text), from)
+		nc.SetReadDeadline(time.Now().Add(patience))
+		if n, err := nc.Read(buf); err != nil || string(buf[:n]) != "back "+text {
+			t.Fatalf("got %q, %v", buf[:n], err)
+		}
+	}
+	round("one")
+	d.Set(Weather{Delay: 5 * time.Millisecond, Jitter: 1})
+	round("two")
+	for i, w := range []Weather{{CutOut: true}, {Loss: 1}} {
+		d.Set(w)
+		io.WriteString(nc, "lost")
+		for d.Lost() < int64(i+1) {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	d.Set(Weather{})
+	round("three")
+}
