The lab: real nodes among stand-ins and faults, judged; cottonrack lab run|check|report|compare

Play starts real processes of the node, stand-ins for partners (HTTP over fleet/partner), the platform and clients, and a timeline of faults; the judge and the tally read what was seen from outside. Experiments are TOML; results are JSON, events and a page with plots; compare tells paired differences with their spread.

A small faulty sender of the tests breaks each of the 13 rules on sockets and is found each time; without a fault nothing is found.

--- /dev/null
+++ b/internal/lab/compare.go
@@ -0,0 +1,130 @@
+package lab
+
+import (
+	"math"
+
+	"gonum.org/v1/gonum/stat"
+	"gonum.org/v1/gonum/stat/distuv"
+)
+
+// Comparison holds runs of two sides on the same seeds.
+type Comparison struct {
+	A, B  string
+	Pairs []Pair
+}
+
+// Pair is one seed, played by both.
+type Pair struct {
+	Seed uint64
+	A, B *Result
+}
+
+// Difference is one figure on both sides.
+type Difference struct {
+	Name    string  `json:"name"`
+	A       float64 `json:"a"` // mean
+	B       float64 `json:"b"`
+	Mean    float64 `json:"mean"` // of B less A, by pairs
+	Low     float64 `json:"low"`  // of the 95% interval of that mean
+	High    float64 `json:"high"`
+	Verdict string  `json:"verdict"`
+}
+
+// Add adds a pair. Both sides must have played the same seed.
+func (c *Comparison) Add(a, b *Result) {
+	c.Pairs = append(c.Pairs, Pair{Seed: a.Seed, A: a, B: b})
+}
+
+// Broken counts the runs in which not all was kept.
+func (c *Comparison) Broken() int {
+	n := 0
+	for _, p := range c.Pairs {
+		for _, r := range []*Result{p.A, p.B} {
+			if !r.Kept {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// Table gives the differences. With fewer than two pairs there is no interval.
+func (c *Comparison) Table() []Difference {
+	figures := []struct {
+		name string
+		of   func(*Result) float64
+	}{
+		{"worth served", func(r *Result) float64 { return r.Tally.All.Share() }},
+		{"worst five seconds", func(r *Result) float64 {
+			l, _ := r.Tally.Worst()
+			return l.Share()
+		}},
+		{"refused, a message", func(r *Result) float64 { return part(r.Tally.All.Refused, r.Tally.All.Messages) }},
+		{"failed, a message", func(r *Result) float64 { return part(r.Tally.All.Failed, r.Tally.All.Messages) }},
+		{"tries, a message", func(r *Result) float64 { return part(r.Tally.Tries, r.Tally.All.Messages) }},
+		{"calls above limits, a message", func(r *Result) float64 { return part(r.Tally.Above, r.Tally.All.Messages) }},
+		{"median time to delivery, s", func(r *Result) float64 { return r.Tally.Delivery.P50.Seconds() }},
+		{"99th percentile of it, s", func(r *Result) float64 { return r.Tally.Delivery.P99.Seconds() }},
+		{"CPU of the nodes, s", func(r *Result) float64 {
+			sum := 0.0
+			for _, u := range r.Use {
+				sum += u.CPU.Seconds()
+			}
+			return sum
+		}},
+		{"most memory of a node, MB", func(r *Result) float64 {
+			most := 0.0
+			for _, u := range r.Use {
+				most = max(most, float64(u.RSS)/(1<<20))
+			}
+			return most
+		}},
+		{"breaches", func(r *Result) float64 { return float64(len(r.Breaches)) }},
+	}
+	if len(c.Pairs) > 0 {
+		for i, l := range c.Pairs[0].A.Tally.Classes {
+			figures = append(figures, struct {
+				name string
+				of   func(*Result) float64
+			}{"class " + l.Name + " served", func(r *Result) float64 {
+				if i >= len(r.Tally.Classes) {
+					return math.NaN()
+				}
+				return r.Tally.Classes[i].Share()
+			}})
+		}
+	}
+	var out []Difference
+	for _, f := range figures {
+		var a, b, d []float64
+		for _, p := range c.Pairs {
+			x, y := f.of(p.A), f.of(p.B)
+			a, b, d = append(a, x), append(b, y), append(d, y-x)
+		}
+		out = append(out, paired(f.name, a, b, d))
+	}
+	return out
+}
+
+func part(n, of int) float64 { return float64(n) / float64(max(of, 1)) }
+
+// paired is the mean of the differences with Student's interval.
+func paired(name string, a, b, d []float64) Difference {
+	out := Difference{Name: name, A: stat.Mean(a, nil), B: stat.Mean(b, nil), Verdict: "too few pairs"}
+	mean, sd := stat.MeanStdDev(d, nil)
+	out.Mean, out.Low, out.High = mean, mean, mean
+	if n := float64(len(d)); n >= 2 {
+		half := distuv.StudentsT{Mu: 0, Sigma: 1, Nu: n - 1}.Quantile(0.975) * sd / math.Sqrt(n)
+		out.Low, out.High = mean-half, mean+half
+		out.Verdict = "within the spread: no difference shown"
+		switch {
+		case sd == 0 && mean == 0:
+			out.Verdict = "the same"
+		case out.Low > 0:
+			out.Verdict = "B is more"
+		case out.High < 0:
+			out.Verdict = "B is less"
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/lab/lab_test.go
@@ -0,0 +1,234 @@
+package lab
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"starlingusher/fleet/experiment"
+	"starlingusher/fleet/history"
+	"starlingusher/fleet/judge"
+)
+
+// TestMain is a sender when a test starts this binary as a node.
+func TestMain(m *testing.M) {
+	if fault, ok := os.LookupEnv("LAB_TEST_SENDER"); ok {
+		if err := runSender(fault); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
+	goleak.VerifyTestMain(m)
+}
+
+const base = `
+name = "sender"
+length = "2500ms"
+settle = "2500ms"
+[fleet]
+nodes = 2
+least_slots = 8
+[load]
+rate = 30
+[network]
+same = "1ms"
+cross = "2ms"
+[discovery]
+delay = "50ms..100ms"
+[[class]]
+name = "notice"
+share = 0.3
+aim = "500ms"
+deadline = "1500ms"
+worth = 2
+effect = "safe"
+[[class]]
+name = "order"
+share = 0.3
+aim = "500ms"
+deadline = "1500ms"
+worth = 1
+effect = "keyed"
+window = "400ms"
+[[class]]
+name = "payout"
+share = 0.4
+aim = "500ms"
+deadline = "1500ms"
+worth = 5
+effect = "unsafe"
+[[partner]]
+kind = "hook"
+count = 2
+endpoints = 1
+pace = "10ms"
+spread = 0
+limit = "none"
+tells_wait = 1
+`
+
+func plan(t *testing.T, text string) experiment.Plan {
+	t.Helper()
+	f, err := experiment.Parse([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return f.Draw(1, 0)
+}
+
+func sendWith(t *testing.T, fault string) Options {
+	return Options{Command: []string{os.Args[0]}, Env: []string{"LAB_TEST_SENDER=" + fault}, Dir: t.TempDir()}
+}
+
+// The judge finds what a faulty sender does, on sockets and from outside, and nothing in one without fault.
+func TestSeededBreaches(t *testing.T) {
+	const lossy = "[[fault]]\nkind = \"lossy\"\nat = \"500ms\"\nfor = \"1s\"\n"
+	const shut = "[[fault]]\nkind = \"shut\"\nat = \"500ms\"\nfor = \"1500ms\"\n"
+	const cold = "[[fault]]\nkind = \"down\"\nat = \"300ms\"\nfor = \"500ms\"\n"
+	const replace = "[[fault]]\nkind = \"replace\"\nat = \"100ms\"\nsize = 1.5\n"
+	silentWait := strings.Replace(base, "tells_wait = 1", "tells_wait = 0", 1)
+	const slow = "[[fault]]\nkind = \"slow\"\nat = \"500ms\"\nfor = \"1s\"\nsize = 20\n"
+	for _, test := range []struct {
+		fault judge.Rule
+		text  string
+	}{
+		{"", base + lossy + replace},
+		{"", base + shut},
+		{"", base + cold + slow},
+		{judge.OneEnd, base},
+		{judge.Over, base},
+		{judge.OneCopy, base},
+		{judge.Once, base + lossy},
+		{judge.Window, base + lossy},
+		{judge.Drain, base + replace},
+		{judge.Wait, base + shut},
+		{judge.Cold, base + cold},
+		{judge.Attempts, silentWait + shut},
+		{judge.Slots, base + slow},
+		{judge.Foreign, base},
+		{judge.Answer, base},
+		{judge.Alive, base},
+	} {
+		t.Run("fault "+string(test.fault), func(t *testing.T) {
+			t.Parallel()
+			res, err := Play(context.Background(), plan(t, test.text), sendWith(t, string(test.fault)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if res.Kinds[string(history.HandedIn)] < 30 {
+				t.Fatalf("hardly anything happened: %v", res.Kinds)
+			}
+			found := slices.ContainsFunc(res.Breaches, func(b judge.Breach) bool { return b.Rule == test.fault })
+			if test.fault != "" && !found {
+				t.Errorf("the breach of %s was not found among %v", test.fault, res.Breaches)
+			}
+			if test.fault == "" && len(res.Breaches) > 0 {
+				t.Errorf("found in a sender without fault: %v", res.Breaches)
+			}
+		})
+	}
+}
+
+// A run that is ended early, and a node that does not start, leave nothing behind and say why. That nothing is left of
+// goroutines is TestMain's to see; of processes, Play's.
+func TestEndedEarly(t *testing.T) {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	opts := sendWith(t, "")
+	enough := errors.New("enough")
+	opts.Progress = func(p Progress) {
+		if p.At > 0 {
+			cancel(enough)
+		}
+	}
+	if _, err := Play(ctx, plan(t, base), opts); !errors.Is(err, enough) {
+		t.Errorf("got %v", err)
+	}
+	opts = sendWith(t, "")
+	opts.Command = []string{"/bin/false"}
+	if _, err := Play(context.Background(), plan(t, base), opts); err == nil || !strings.Contains(err.Error(), "exit code 1") {
+		t.Errorf("got %v", err)
+	}
+}
+
+// What a run has come to can be written, read and reported.
+func TestResults(t *testing.T) {
+	res, err := Play(context.Background(), plan(t, strings.Replace(base, "2500ms", "1s", 1)), sendWith(t, "one-end"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if res.Kept {
+		t.Error("a run with breaches was kept")
+	}
+	dir := t.TempDir()
+	if err := res.Write(dir); err != nil {
+		t.Fatal(err)
+	}
+	got, err := ReadResult(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	events, err := ReadEvents(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(events) != len(res.Events) || len(got.Breaches) != len(res.Breaches) || got.Tally.All != res.Tally.All {
+		t.Errorf("read %d events of %d, %d breaches of %d", len(events), len(res.Events), len(got.Breaches), len(res.Breaches))
+	}
+	path, err := WriteReport(dir, got)
+	if err != nil {
+		t.Fatal(err)
+	}
+	page, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"# sender, seed 1", "not kept", "one-end", "service.svg", "calls.svg", "| payout |"} {
+		if !strings.Contains(string(page), want) {
+			t.Errorf("the report lacks %q", want)
+		}
+	}
+	for _, svg := range []string{"service.svg", "calls.svg"} {
+		if info, err := os.Stat(filepath.Join(dir, svg)); err != nil || info.Size() == 0 {
+			t.Errorf("%s: %v", svg, err)
+		}
+	}
+	if _, err := ReadResult(t.TempDir()); err == nil || !strings.Contains(err.Error(), "--out") {
+		t.Errorf("no results: %v", err)
+	}
+}
+
+func TestPaired(t *testing.T) {
+	same := paired("x", []float64{1, 2, 3}, []float64{1, 2, 3}, []float64{0, 0, 0})
+	more := paired("x", []float64{1, 2, 3}, []float64{2, 3.1, 3.9}, []float64{1, 1.1, 0.9})
+	noise := paired("x", []float64{1, 2, 3}, []float64{2, 1, 3}, []float64{1, -1, 0})
+	if same.Verdict != "the same" || more.Verdict != "B is more" || !strings.Contains(noise.Verdict, "within the spread") {
+		t.Errorf("got %+v, %+v, %+v", same, more, noise)
+	}
+	// Student's t for two degrees of freedom is 4.303; the spread of the differences is 0.1.
+	if want := 1 - 4.303*0.1/1.7321; more.Low < want-0.001 || more.Low > want+0.001 {
+		t.Errorf("the interval begins at %v, want %v", more.Low, want)
+	}
+}
+
+// A lab that was too late itself says so, and fails the run.
+func TestLateLab(t *testing.T) {
+	res := &Result{}
+	res.Lateness.P99 = 50 * time.Millisecond
+	f, err := experiment.Parse([]byte(base))
+	if err != nil {
+		t.Fatal(err)
+	}
+	res.judge(f.Expect)
+	if res.Kept || len(res.Spoilt) != 1 || !strings.Contains(res.Spoilt[0], "its own lateness") {
+		t.Errorf("got %+v", res)
+	}
+}
--- /dev/null
+++ b/internal/lab/report.go
@@ -0,0 +1,179 @@
+package lab
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"starlingusher/fleet/history"
+	"starlingusher/fleet/tally"
+)
+
+// ReportFile is the page that WriteReport writes.
+const ReportFile = "report.md"
+
+const (
+	plotWidth  = 18 * vg.Centimeter
+	plotHeight = 8 * vg.Centimeter
+)
+
+// WriteReport writes a page of Markdown with SVG plots beside a run's results, and returns its path.
+func WriteReport(dir string, res *Result) (string, error) {
+	events, err := ReadEvents(dir)
+	if errors.Is(err, fs.ErrNotExist) {
+		events = nil // the page goes without what they tell
+	} else if err != nil {
+		return "", err
+	}
+	var b strings.Builder
+	verdict := "All that was expected was kept."
+	if !res.Kept {
+		verdict = "**Not all that was expected was kept.**"
+	}
+	fmt.Fprintf(&b, "# %s, seed %d\n\n%s\n\n%s\n\n", res.Experiment, res.Seed, res.About, verdict)
+	fmt.Fprintf(&b, "%d nodes, %d messages in %v, on %d cores. Began %s, took %v.\n\n", res.Nodes, res.Tally.All.Messages, res.Length, res.Cores,
+		res.Began.UTC().Format(time.RFC3339), res.Took.Round(time.Second))
+	b.WriteString("| expected | got | |\n| --- | --- | --- |\n")
+	for _, e := range res.Expectations {
+		fmt.Fprintf(&b, "| %s | %s | %s |\n", e.What, e.Got, map[bool]string{true: "kept", false: "**not kept**"}[e.Kept])
+	}
+	for _, s := range res.Spoilt {
+		fmt.Fprintf(&b, "\n**Spoilt:** %s\n", s)
+	}
+	if len(res.Faults) > 0 {
+		b.WriteString("\n## Timeline\n\n")
+		for _, x := range res.Faults {
+			fmt.Fprintf(&b, "- %s\n", x)
+		}
+	}
+	if len(res.Breaches) > 0 {
+		b.WriteString("\n## Breaches\n\n")
+		for _, x := range res.Breaches {
+			fmt.Fprintf(&b, "- %s\n", x)
+		}
+	}
+	b.WriteString("\n## Service\n\n")
+	if err := servicePlot(filepath.Join(dir, "service.svg"), res); err != nil {
+		return "", err
+	}
+	b.WriteString("![worth served by five seconds](service.svg)\n\n")
+	lines(&b, "class", res.Tally.Classes)
+	lines(&b, "member", res.Tally.Members)
+	lines(&b, "node", res.Tally.Nodes)
+	fmt.Fprintf(&b, "Time to answer: median %v, 99th percentile %v. Time to delivery: median %v, 99th percentile %v, longest %v.\n",
+		res.Tally.Answers.P50, res.Tally.Answers.P99, res.Tally.Delivery.P50, res.Tally.Delivery.P99, res.Tally.Delivery.Max)
+	b.WriteString("\n## Partners\n\n")
+	if events != nil {
+		if err := callsPlot(filepath.Join(dir, "calls.svg"), events); err != nil {
+			return "", err
+		}
+		b.WriteString("![ends of calls by second](calls.svg)\n\n")
+	}
+	b.WriteString("| partner | calls | messages | accepted | above its limit | other refusals | given up | errors |\n|" + strings.Repeat(" --- |", 8) + "\n")
+	for _, p := range res.Tally.Partners {
+		e := p.Ends
+		fmt.Fprintf(&b, "| %d | %d | %d | %d | %d | %d | %d | %d |\n", p.Partner, p.Calls, p.Messages, e[history.Accepted], e[history.Above],
+			e[history.Turned]+e[history.Full]+e[history.Crowded], e[history.GivenUp], e[history.Errored]+e[history.AnswerCut]+e[history.Spoilt])
+	}
+	b.WriteString("\n## Processes\n\n| node | starts | CPU | most memory, MB | most descriptors | most disk, KB |\n|" + strings.Repeat(" --- |", 6) + "\n")
+	for _, u := range res.Use {
+		fmt.Fprintf(&b, "| %s | %d | %v | %.1f | %d | %d |\n", u.Node, u.Starts, u.CPU.Round(10*time.Millisecond), float64(u.RSS)/(1<<20), u.Descriptors,
+			u.Disk>>10)
+	}
+	fmt.Fprintf(&b, "\nThe lab itself was late by %v in the median, %v in the 99th percentile, %v at most.\n", res.Lateness.P50, res.Lateness.P99, res.Lateness.Max)
+	path := filepath.Join(dir, ReportFile)
+	if err := os.WriteFile(path, []byte(b.String()), 0o644); err != nil {
+		return "", fmt.Errorf("report: %w", err)
+	}
+	return path, nil
+}
+
+func lines(b *strings.Builder, what string, all []tally.Line) {
+	fmt.Fprintf(b, "| %s | messages | worth served | delivered | refused | failed | unheard |\n|%s\n", what, strings.Repeat(" --- |", 7))
+	for _, l := range all {
+		fmt.Fprintf(b, "| %s | %d | %.3f | %d | %d | %d | %d |\n", l.Name, l.Messages, l.Share(), l.Delivered, l.Refused, l.Failed, l.Unheard)
+	}
+	b.WriteString("\n")
+}
+
+func save(p *plot.Plot, path string) error {
+	if err := p.Save(plotWidth, plotHeight, path); err != nil {
+		return fmt.Errorf("plot: %w", err)
+	}
+	return nil
+}
+
+// servicePlot draws the share of the worth that was served, by the time when messages came.
+func servicePlot(path string, res *Result) error {
+	p := plot.New()
+	p.Title.Text = "Worth served by the time when messages came"
+	p.X.Label.Text, p.Y.Label.Text = "seconds", "share"
+	p.Y.Min, p.Y.Max = 0, 1
+	var points plotter.XYs
+	for i, l := range res.Tally.Stretches {
+		points = append(points, plotter.XY{X: (float64(i) + 0.5) * tally.Stretch.Seconds(), Y: l.Share()})
+	}
+	if len(points) > 0 {
+		if err := plotutil.AddLinePoints(p, "served", points); err != nil {
+			return fmt.Errorf("plot: %w", err)
+		}
+	}
+	return save(p, path)
+}
+
+// callsPlot draws how many calls ended in which way in each second.
+func callsPlot(path string, events []history.Event) error {
+	bySecond := map[string]map[int]int{}
+	last := 0
+	for _, e := range events {
+		if e.Kind != history.CallEnded {
+			continue
+		}
+		if bySecond[e.State] == nil {
+			bySecond[e.State] = map[int]int{}
+		}
+		s := int(e.At / time.Second)
+		bySecond[e.State][s]++
+		last = max(last, s)
+	}
+	p := plot.New()
+	p.Title.Text = "Ends of calls"
+	p.X.Label.Text, p.Y.Label.Text = "seconds", "calls a second"
+	p.Y.Min = 0
+	p.Legend.Top = true
+	states := sortedKeys(bySecond)
+	slices.SortStableFunc(states, func(a, b string) int { return cmp.Compare(total(bySecond[b]), total(bySecond[a])) })
+	var all []any
+	for _, s := range states {
+		var points plotter.XYs
+		for i := range last + 1 {
+			points = append(points, plotter.XY{X: float64(i), Y: float64(bySecond[s][i])})
+		}
+		all = append(all, strings.ReplaceAll(s, "_", " "), points)
+	}
+	if len(all) > 0 {
+		if err := plotutil.AddLines(p, all...); err != nil {
+			return fmt.Errorf("plot: %w", err)
+		}
+	}
+	return save(p, path)
+}
+
+func total(m map[int]int) int {
+	sum := 0
+	for _, n := range m {
+		sum += n
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/lab/result.go
@@ -0,0 +1,206 @@
+package lab
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"time"
+
+	"starlingusher/fleet/experiment"
+	"starlingusher/fleet/history"
+	"starlingusher/fleet/judge"
+	"starlingusher/fleet/tally"
+	"starlingusher/internal/lab/standin"
+)
+
+// Names of the files in a results' folder.
+const (
+	ResultFile = "result.json"
+	EventsFile = "events.jsonl"
+)
+
+// Result is what came of a run.
+type Result struct {
+	Experiment string        `json:"experiment"`
+	About      string        `json:"about,omitempty"`
+	Seed       uint64        `json:"seed"`
+	Command    []string      `json:"command"`
+	Began      time.Time     `json:"began"`
+	Took       time.Duration `json:"took"` // with starts and ends
+	Length     time.Duration `json:"length"`
+	Nodes      int           `json:"nodes"`
+	Cores      int           `json:"cores"` // of the machine
+
+	Kept         bool          `json:"kept"` // all expectations
+	Expectations []Expectation `json:"expectations"`
+	// Spoilt says that the lab itself was too late or failed: what the run shows of the nodes is not to be trusted.
+	Spoilt   []string           `json:"spoilt,omitempty"`
+	Breaches []judge.Breach     `json:"breaches"`
+	Tally    tally.Report       `json:"tally"`
+	Lateness tally.Times        `json:"lateness"` // of the lab
+	Use      []ProcessUse       `json:"processes"`
+	Rude     standin.RudeCount  `json:"rude_peers"`
+	Faults   []string           `json:"faults"`
+	Kinds    map[string]int     `json:"events"`
+	Limits   map[string]float64 `json:"limits"` // of partners, calls a second
+
+	Events []history.Event `json:"-"`
+}
+
+// Expectation is one thing that was expected, and what came.
+type Expectation struct {
+	What string `json:"what"`
+	Got  string `json:"got"`
+	Kept bool   `json:"kept"`
+}
+
+// result reads what was seen. All that wrote events must have ended.
+func (r *run) result(began time.Time) *Result {
+	events := r.log.Events()
+	res := &Result{
+		Experiment: r.plan.Name, About: r.plan.About, Seed: r.plan.Seed, Command: r.opts.Command, Began: began, Took: time.Since(began),
+		Length: r.plan.End(), Nodes: len(r.plan.Nodes), Cores: runtime.NumCPU(), Breaches: judge.Find(r.plan.Judge(), events),
+		Tally: tally.Count(r.plan.Tally(), events), Lateness: r.log.Lateness(), Rude: r.clients.Rude(), Spoilt: r.failed, Events: events,
+		Kinds: map[string]int{}, Limits: map[string]float64{},
+	}
+	for _, e := range events {
+		res.Kinds[string(e.Kind)]++
+	}
+	for _, n := range r.nodes {
+		res.Use = append(res.Use, n.use)
+	}
+	for _, x := range r.plan.Faults {
+		res.Faults = append(res.Faults, fmt.Sprintf("%v: %v", x.At.Round(time.Millisecond), x))
+	}
+	for i, p := range r.plan.Partners {
+		res.Limits[fmt.Sprint(i)] = p.Model.Limit.PerSecond
+	}
+	res.judge(r.plan.Expect)
+	return res
+}
+
+// judge holds a result to what was expected of it.
+func (res *Result) judge(x experiment.Expect) {
+	expect := func(kept bool, what, got string, args ...any) {
+		res.Expectations = append(res.Expectations, Expectation{what, fmt.Sprintf(got, args...), kept})
+	}
+	broken := map[string]int{}
+	for _, b := range res.Breaches {
+		broken[string(b.Rule)]++
+	}
+	others := 0
+	for rule, n := range broken {
+		if !slices.Contains(x.Broken, rule) {
+			others += n
+		}
+	}
+	if len(x.Broken) == 0 {
+		expect(others == 0, "no rule broken", "%d breaches", others)
+	} else {
+		for _, rule := range x.Broken {
+			expect(broken[rule] > 0, fmt.Sprintf("rule %s broken", rule), "%d breaches", broken[rule])
+		}
+		expect(others == 0, "no other rule broken", "%d breaches", others)
+	}
+	least := func(what string, want float64, l tally.Line) {
+		if want > 0 {
+			expect(l.Share() >= want, fmt.Sprintf("%s served %.3g at least", what, want), "%.3f", l.Share())
+		}
+	}
+	least("worth", x.Served.Low, res.Tally.All)
+	for _, name := range sortedKeys(x.Class) {
+		if l, ok := tally.Find(res.Tally.Classes, name); ok {
+			least("class "+name, x.Class[name].Low, l)
+		}
+	}
+	if l, ok := res.Tally.Worst(); ok {
+		least("worst five seconds", x.Worst.Low, l)
+	}
+	if most := x.AboveMost; most != nil {
+		got := float64(res.Tally.Above) / float64(max(res.Tally.All.Messages, 1))
+		expect(got <= most.High, fmt.Sprintf("calls above limits, a message, %.3g at most", most.High), "%.3f", got)
+	}
+	if want := int(x.Delivered.Low); want > 0 {
+		expect(res.Tally.All.Delivered >= want, fmt.Sprintf("%d messages delivered at least", want), "%d", res.Tally.All.Delivered)
+	}
+	if res.Rude.Came > 0 {
+		bad := res.Rude.Unanswered + res.Rude.TakenOn
+		expect(bad == 0, "rude peers get an error or a close in time", "%d of %d did not", bad, res.Rude.Came)
+	}
+	if most := x.Lateness.High; most > 0 {
+		kept := res.Lateness.P99 <= most
+		expect(kept, fmt.Sprintf("the lab itself at most %v late (99th percentile)", most), "%v", res.Lateness.P99)
+		if !kept {
+			res.Spoilt = append(res.Spoilt, fmt.Sprintf("the lab was %v late (99th percentile): its own lateness spoilt the run", res.Lateness.P99))
+		}
+	}
+	res.Kept = len(res.Spoilt) == 0
+	for _, e := range res.Expectations {
+		res.Kept = res.Kept && e.Kept
+	}
+}
+
+// Write writes a result's files into a folder, which it makes if need be.
+func (res *Result) Write(dir string) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return fmt.Errorf("results: %w", err)
+	}
+	f, err := os.Create(filepath.Join(dir, EventsFile))
+	if err != nil {
+		return fmt.Errorf("results: %w", err)
+	}
+	if err := errors.Join(history.Write(f, res.Events), f.Close()); err != nil {
+		return fmt.Errorf("results: %w", err)
+	}
+	raw, err := json.MarshalIndent(res, "", " ")
+	if err != nil {
+		return fmt.Errorf("results: %w", err)
+	}
+	return os.WriteFile(filepath.Join(dir, ResultFile), append(raw, '\n'), 0o644)
+}
+
+// ReadResult reads what Write wrote, without its events.
+func ReadResult(dir string) (*Result, error) {
+	path := filepath.Join(dir, ResultFile)
+	raw, err := os.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, fmt.Errorf("%s holds no %s: name the folder that `cottonrack lab run --out` wrote", dir, ResultFile)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("results: %w", err)
+	}
+	var res Result
+	if err := json.Unmarshal(raw, &res); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return &res, nil
+}
+
+// ReadEvents reads the events of a results' folder.
+func ReadEvents(dir string) ([]history.Event, error) {
+	path := filepath.Join(dir, EventsFile)
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, fmt.Errorf("events: %w", err)
+	}
+	defer f.Close()
+	events, err := history.Read(f)
+	if err != nil {
+		return events, fmt.Errorf("%s: %w", path, err)
+	}
+	return events, nil
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/internal/lab/standin/clients.go
@@ -0,0 +1,429 @@
+package standin
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"starlingusher/fleet/experiment"
+	"starlingusher/fleet/history"
+	"starlingusher/fleet/judge"
+	"starlingusher/internal/lab/observe"
+)
+
+const (
+	maxKept     = 64 // idle connections to a node
+	rudeWindow  = 3 * time.Second
+	rudeSlack   = 200 * time.Millisecond
+	dialTimeout = time.Second
+)
+
+// Clients hand a plan's messages in, in an open loop: when they come does not depend on what becomes of others.
+type Clients struct {
+	plan  *experiment.Plan
+	log   *observe.Log
+	addr  func(node int) string // where a node's clients connect
+	alive func(node int) bool   // whether it runs, as far as its clients can know
+	body  []byte
+
+	wg  sync.WaitGroup
+	mu  sync.Mutex
+	ctx context.Context // of the run, once it has begun
+
+	rand  *rand.Rand
+	cases []caseState // by number, from 1
+	ids   map[string]int
+	idle  []idleConns
+	rude  RudeCount
+}
+
+// RudeCount is how rude peers fared.
+type RudeCount struct {
+	Came       int `json:"came"`
+	Unanswered int `json:"unanswered"` // had neither an error line nor a close in time
+	TakenOn    int `json:"taken_on"`   // had a message taken on
+}
+
+type idleConns struct {
+	mu    sync.Mutex
+	conns []*clientConn
+}
+
+type clientConn struct {
+	net.Conn
+	br   *bufio.Reader
+	used bool
+}
+
+// caseState is one message over all its ids.
+type caseState struct {
+	tries   int
+	id      string // the last one
+	node    int
+	taken   bool          // under it
+	over    bool          // delivered, failed, or given up
+	touched bool          // a partner has seen it,
+	first   time.Duration // then first
+}
+
+// NewClients makes the clients of a plan.
+func NewClients(plan *experiment.Plan, addr func(int) string, alive func(int) bool, log *observe.Log) *Clients {
+	return &Clients{
+		plan: plan, log: log, addr: addr, alive: alive, body: []byte(strings.Repeat("x", plan.Load.Body)),
+		rand: rand.New(rand.NewPCG(plan.Seed, 0xc11e)), cases: make([]caseState, len(plan.Arrivals)+1), ids: map[string]int{},
+		idle: make([]idleConns, len(plan.Nodes)),
+	}
+}
+
+// Run hands in until the context ends and all clients have gone.
+func (c *Clients) Run(ctx context.Context) {
+	c.mu.Lock()
+	c.ctx = ctx
+	c.mu.Unlock()
+	c.wg.Go(func() { c.rudePeers(ctx) })
+	for i, a := range c.plan.Arrivals {
+		if !sleepUntil(ctx, c.log.Wall(a.At)) {
+			break
+		}
+		c.log.Late(c.log.Now() - a.At)
+		c.wg.Go(func() { c.handIn(ctx, i+1, a.Node, false) })
+	}
+	<-ctx.Done()
+	c.wg.Wait()
+	for i := range c.idle {
+		for _, k := range c.idle[i].conns {
+			k.Close()
+		}
+	}
+}
+
+// Rude is how the rude peers have fared.
+func (c *Clients) Rude() RudeCount {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.rude
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	d := time.Until(at)
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Saw is told of the messages of a call that has reached a partner.
+func (c *Clients) Saw(ids []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, id := range ids {
+		if s := c.of(id); s != nil && !s.touched {
+			s.touched, s.first = true, c.log.Now()
+		}
+	}
+}
+
+// of is the state of the case that an id is the last one of; the lock is held.
+func (c *Clients) of(id string) *caseState {
+	n := c.ids[id]
+	if n == 0 || c.cases[n].id != id {
+		return nil
+	}
+	return &c.cases[n]
+}
+
+// Heard is told of a node's notice: a message that was handed back may come again.
+func (c *Clients) Heard(_ int, id, state string, after time.Duration) {
+	c.mu.Lock()
+	s := c.of(id)
+	if s == nil || s.over || !s.taken {
+		c.mu.Unlock()
+		return
+	}
+	s.taken = false
+	n, node := c.ids[id], s.node
+	if state != history.Returned {
+		s.over = true
+	}
+	ctx := c.ctx
+	c.mu.Unlock()
+	if state == history.Returned && ctx != nil {
+		c.comeAgain(ctx, n, node, after)
+	}
+}
+
+// Lost is told that a node's folder has gone: what it held comes again to a node that runs, unless it may have run and
+// must not run twice.
+func (c *Clients) Lost(node int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ctx == nil {
+		return
+	}
+	ctx := c.ctx
+	for n := 1; n < len(c.cases); n++ {
+		s := &c.cases[n]
+		if s.id == "" || s.over || !s.taken || s.node != node {
+			continue
+		}
+		s.taken = false
+		class := c.plan.Classes[c.plan.Arrivals[n-1].Class]
+		wait := c.draw(c.plan.Load.Again)
+		if s.touched && (class.Effect == judge.Unsafe || class.Effect == judge.Keyed && c.log.Now()+wait-s.first > class.Window/2) {
+			s.over = true
+			continue
+		}
+		c.wg.Go(func() {
+			if !sleepUntil(ctx, time.Now().Add(wait)) {
+				return
+			}
+			for i := range c.plan.Nodes {
+				if to := (node + 1 + i) % len(c.plan.Nodes); c.alive(to) {
+					c.handIn(ctx, n, to, true)
+					return
+				}
+			}
+		})
+	}
+}
+
+// draw draws a time; the lock is held.
+func (c *Clients) draw(s experiment.Span) time.Duration {
+	return s.Low + time.Duration(c.rand.Float64()*float64(s.High-s.Low))
+}
+
+// comeAgain hands a message in again after a wait, if its client has tries left.
+func (c *Clients) comeAgain(ctx context.Context, n, node int, told time.Duration) {
+	c.mu.Lock()
+	s := &c.cases[n]
+	if s.tries > c.plan.Load.Retries {
+		s.over = true
+		c.mu.Unlock()
+		return
+	}
+	wait := c.draw(c.plan.Load.Backoff)
+	if told > 0 && c.rand.Float64() < c.plan.Load.Honour {
+		wait = min(told, c.plan.Rules.MaxWait)
+	}
+	c.mu.Unlock()
+	c.wg.Go(func() {
+		if sleepUntil(ctx, time.Now().Add(wait)) {
+			c.handIn(ctx, n, node, false)
+		}
+	})
+}
+
+// handIn hands a message in once, under a new id.
+func (c *Clients) handIn(ctx context.Context, n, node int, again bool) {
+	a := c.plan.Arrivals[n-1]
+	class := c.plan.Classes[a.Class]
+	left := a.At + class.Deadline - c.log.Now()
+	if left <= time.Millisecond {
+		return
+	}
+	c.mu.Lock()
+	s := &c.cases[n]
+	s.tries++
+	s.id, s.node, s.taken = c.plan.ID(n, s.tries), node, false
+	id, first := s.id, s.tries == 1
+	c.ids[id] = n
+	c.mu.Unlock()
+	words := fmt.Sprintf("c=%s,t=%s,d=%d,dest=%d", class.Name, c.plan.Members[a.Member].Name, left.Milliseconds(), a.Dest)
+	key := c.plan.Key(n)
+	if key != "" {
+		words += ",k=" + key
+	}
+	if again {
+		words += ",again=1"
+	}
+	e := history.Event{
+		Kind: history.HandedIn, Node: node, Partner: -1, ID: id, Case: n, Class: a.Class, Member: a.Member, Dest: a.Dest, Key: key,
+		Life: left.Truncate(time.Millisecond), Again: again, First: a.At, At: c.log.Now(),
+	}
+	if !first {
+		e.First = e.At
+	}
+	c.log.Add(e)
+	state, wait := c.ask(ctx, node, command("ENQUEUE", strings.Repeat("0", 16), id, words, string(c.body)))
+	if ctx.Err() != nil {
+		return
+	}
+	c.log.Add(history.Event{Kind: history.Answered, Node: node, Partner: -1, ID: id, State: state, Wait: wait})
+	c.mu.Lock()
+	mine := c.cases[n].id == id
+	touched, since := s.touched, c.log.Now()-s.first
+	if mine {
+		s.taken = state == history.Taken
+		s.over = state == history.Failed
+	}
+	c.mu.Unlock()
+	if !mine {
+		return
+	}
+	switch state {
+	case history.Refused, history.Unsent:
+		c.comeAgain(ctx, n, node, wait)
+	case history.Unheard, history.Broken:
+		// It may be with the node, and may yet run: only what may be repeated comes again, under a new id.
+		if class.Effect == judge.Safe || class.Effect == judge.Keyed && (!touched || since < class.Window/2) {
+			c.comeAgain(ctx, n, node, 0)
+		}
+	}
+}
+
+// command is a command as clients write it.
+func command(words ...string) []byte {
+	b := strconv.AppendInt([]byte{'*'}, int64(len(words)), 10)
+	for _, w := range words {
+		b = append(b, "\r\n$"...)
+		b = strconv.AppendInt(b, int64(len(w)), 10)
+		b = append(b, "\r\n"...)
+		b = append(b, w...)
+	}
+	return append(b, "\r\n"...)
+}
+
+// ask sends a request and waits for its answer as long as clients do. One that crosses the close of an idle connection
+// is sent once more.
+func (c *Clients) ask(ctx context.Context, node int, request []byte) (state string, wait time.Duration) {
+	by := time.Now().Add(c.plan.Load.Patience)
+	crossed := false // it has been written to a connection that ended: the node may have read it all the same
+	for {
+		k, err := c.conn(ctx, node)
+		if err != nil && crossed {
+			return history.Broken, 0
+		}
+		if err != nil {
+			return history.Unsent, 0
+		}
+		stop := context.AfterFunc(ctx, func() { k.Close() })
+		line, wrote, err := k.ask(request, by)
+		used := k.used
+		stop()
+		if err == nil {
+			k.used = true
+			c.keep(node, k)
+			return answered(line)
+		}
+		k.Close()
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			return history.Unheard, 0
+		case used && ctx.Err() == nil:
+			crossed = crossed || wrote
+			continue // the node closed it between requests
+		case !wrote && !crossed:
+			return history.Unsent, 0
+		}
+		return history.Broken, 0
+	}
+}
+
+func (k *clientConn) ask(request []byte, by time.Time) (line string, wrote bool, err error) {
+	if err := k.SetDeadline(by); err != nil {
+		return "", false, err
+	}
+	if _, err := k.Write(request); err != nil {
+		return "", false, err
+	}
+	line, err = k.br.ReadString('\n')
+	return line, true, err
+}
+
+func answered(line string) (string, time.Duration) {
+	line = strings.TrimRight(line, "\r\n")
+	switch {
+	case strings.HasPrefix(line, "+"), strings.HasPrefix(line, "$"):
+		return history.Taken, 0
+	case line == "-BUSY" || strings.HasPrefix(line, "-BUSY "):
+		ms, _ := strconv.ParseFloat(strings.TrimSpace(strings.TrimPrefix(line, "-BUSY")), 64) // none told: 0
+		return history.Refused, time.Duration(ms * float64(time.Millisecond))
+	}
+	return history.Failed, 0
+}
+
+func (c *Clients) conn(ctx context.Context, node int) (*clientConn, error) {
+	pool := &c.idle[node]
+	pool.mu.Lock()
+	if n := len(pool.conns); n > 0 {
+		k := pool.conns[n-1]
+		pool.conns = pool.conns[:n-1]
+		pool.mu.Unlock()
+		return k, nil
+	}
+	pool.mu.Unlock()
+	d := net.Dialer{Timeout: dialTimeout}
+	nc, err := d.DialContext(ctx, "tcp", c.addr(node))
+	if err != nil {
+		return nil, err
+	}
+	return &clientConn{Conn: nc, br: bufio.NewReader(nc)}, nil
+}
+
+func (c *Clients) keep(node int, k *clientConn) {
+	pool := &c.idle[node]
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	if len(pool.conns) >= maxKept {
+		k.Close()
+		return
+	}
+	pool.conns = append(pool.conns, k)
+}
+
+// rudePeers come and say nothing, nonsense, too much, or half a request.
+func (c *Clients) rudePeers(ctx context.Context) {
+	for _, r := range c.plan.Rude {
+		if !sleepUntil(ctx, c.log.Wall(r.At)) {
+			return
+		}
+		c.wg.Go(func() { c.beRude(ctx, r) })
+	}
+}
+
+func (c *Clients) beRude(ctx context.Context, r experiment.Rudeness) {
+	var d net.Dialer
+	nc, err := d.DialContext(ctx, "tcp", c.addr(r.Node))
+	if err != nil {
+		return // no node is there to be rude to
+	}
+	defer nc.Close()
+	stop := context.AfterFunc(ctx, func() { nc.Close() })
+	defer stop()
+	start := time.Now()
+	nc.SetDeadline(start.Add(rudeWindow + rudeSlack))
+	sayings := []string{
+		"", "\x00\xff\x16\x03\x01nonsense\r\n", "GET / HTTP/1.1\r\nHost: x\r\n\r\n", "*5\r\n$7\r\nENQUEUE\r\n$1\r\n0\r\n", "*99999\r\n",
+		"*1\r\n$999999999\r\n", "*5\r\n$7\r\nENQUEUE\r\n$1\r\n0\r\n$3\r\nabc\r\n$3\r\nc=x\r\n$0\r\n\r\n", strings.Repeat("A", 100_000),
+	}
+	io.WriteString(nc, sayings[r.Way%len(sayings)])
+	line, err := bufio.NewReader(nc).ReadString('\n')
+	if ctx.Err() != nil || !c.alive(r.Node) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.rude.Came++
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		c.rude.Unanswered++
+	case strings.HasPrefix(line, "+"):
+		c.rude.TakenOn++
+	}
+}
--- /dev/null
+++ b/internal/lab/standin/platform.go
@@ -0,0 +1,429 @@
+package standin
+
+import (
+	"bufio"
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"starlingusher/fleet/history"
+	"starlingusher/internal/lab/observe"
+)
+
+const (
+	heartbeat    = 2 * time.Second
+	countsAsTold = 6 * time.Second         // after a change, whether it arrived or not
+	oldAgent     = 1500 * time.Millisecond // for which an old address keeps its connections
+)
+
+// Member is an endpoint in discovery's list.
+type Member struct {
+	ID       string  `json:"id"`
+	Addr     string  `json:"host_port"`
+	Locality string  `json:"locality"`
+	Flavor   string  `json:"flavor"`
+	Cell     int     `json:"cell"`
+	Phase    string  `json:"phase"`
+	Size     float64 `json:"size"`
+	UpSince  int64   `json:"up_since_ms"`
+}
+
+// List is discovery's list, whole or as changes.
+type List struct {
+	Revision int64    `json:"revision"`
+	Complete bool     `json:"complete"`
+	Members  []Member `json:"members"`
+}
+
+type change struct {
+	at       time.Duration
+	revision int64
+	member   Member // its Addr is filled in for each node
+	addr     func(node int) string
+}
+
+// Platform is discovery and what hears notices: an agent beside each node, which is told of changes late.
+type Platform struct {
+	log    *observe.Log
+	agents []*Agent
+
+	mu      sync.Mutex
+	changes []change
+	present map[string]change // as the platform itself has it
+}
+
+// Agent is the platform on one node's machine.
+type Agent struct {
+	platform *Platform
+	node     int
+	delay    func() time.Duration
+	heard    func(id, state string, after time.Duration) // of notices
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
+
+	mu      sync.Mutex
+	known   []change // in the order in which it was told
+	news    chan struct{}
+	extra   time.Duration // on top of the delay
+	silent  bool
+	woken   chan struct{} // the silence has ended
+	srv     *http.Server
+	addr    string
+	told    int64 // the last revision noted as told
+	closers []*http.Server
+}
+
+// NewPlatform makes a platform for so many nodes. Each node's agent is told of a change after a delay drawn from the
+// seed; heard is called for each notice of a node.
+func NewPlatform(nodes int, low, high time.Duration, seed uint64, log *observe.Log, heard func(node int, id, state string, after time.Duration)) *Platform {
+	p := &Platform{log: log, present: map[string]change{}}
+	for n := range nodes {
+		r := rand.New(rand.NewPCG(seed, uint64(n)))
+		ctx, cancel := context.WithCancel(context.Background())
+		a := &Agent{
+			platform: p, node: n, cancel: cancel, news: make(chan struct{}), woken: make(chan struct{}),
+			delay: func() time.Duration { return low + time.Duration(r.Float64()*float64(high-low)) },
+			heard: func(id, state string, after time.Duration) { heard(n, id, state, after) },
+		}
+		p.agents = append(p.agents, a)
+		a.wg.Go(func() { a.follow(ctx) })
+	}
+	return p
+}
+
+// Agent is the one of a node.
+func (p *Platform) Agent(node int) *Agent { return p.agents[node] }
+
+// Put changes an endpoint of the list, or adds one. With atOnce all agents have it without delay, as at the start.
+func (p *Platform) Put(m Member, addr func(node int) string, atOnce bool) {
+	p.mu.Lock()
+	c := change{at: p.log.Now(), revision: int64(len(p.changes) + 1), member: m, addr: addr}
+	if addr == nil {
+		c.addr = p.present[m.ID].addr
+	}
+	p.changes = append(p.changes, c)
+	if m.Phase == history.Deleted {
+		delete(p.present, m.ID)
+	} else {
+		p.present[m.ID] = c
+	}
+	p.mu.Unlock()
+	for _, a := range p.agents {
+		if atOnce {
+			a.learn([]change{c})
+		}
+		a.wake()
+	}
+}
+
+// Close ends all agents.
+func (p *Platform) Close() {
+	for _, a := range p.agents {
+		a.close()
+	}
+}
+
+func (p *Platform) from(i int) []change {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.changes[min(i, len(p.changes)):])
+}
+
+// wake lets the agent look again.
+func (a *Agent) wake() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	close(a.news)
+	a.news = make(chan struct{})
+}
+
+func (a *Agent) learn(changes []change) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, c := range changes {
+		if int(c.revision) == len(a.known)+1 {
+			a.known = append(a.known, c)
+		}
+	}
+}
+
+// follow takes changes over from the platform, each after its delay and in their order.
+func (a *Agent) follow(ctx context.Context) {
+	drawn, late := int64(0), time.Duration(0)
+	for {
+		a.mu.Lock()
+		have, news, silent, extra := len(a.known), a.news, a.silent, a.extra
+		a.mu.Unlock()
+		next := a.platform.from(have)
+		wait := time.Hour
+		if len(next) > 0 {
+			c := next[0]
+			if drawn != c.revision {
+				drawn, late = c.revision, a.delay()
+			}
+			due := c.at + late + extra
+			wait = time.Until(a.platform.log.Wall(due))
+			if wait <= 0 && !silent {
+				a.learn(next[:1])
+				a.tell(c.revision, c, a.platform.log.Now())
+				a.wake()
+				continue
+			}
+			if silent {
+				wait = time.Hour
+			}
+			wait = min(wait, a.force(next))
+		}
+		t := time.NewTimer(max(wait, time.Millisecond))
+		select {
+		case <-t.C:
+		case <-news:
+		case <-ctx.Done():
+			t.Stop()
+			return
+		}
+		t.Stop()
+	}
+}
+
+// force notes what counts as told by now, whether it has arrived or not, and returns how long it is until the next does.
+func (a *Agent) force(changes []change) time.Duration {
+	now := a.platform.log.Now()
+	for _, c := range changes {
+		if by := c.at + countsAsTold; by > now {
+			return by - now
+		}
+		a.tell(c.revision, c, c.at+countsAsTold)
+	}
+	return time.Hour
+}
+
+// tell notes once that a change was told.
+func (a *Agent) tell(revision int64, c change, at time.Duration) {
+	a.mu.Lock()
+	before := a.told >= revision
+	a.told = max(a.told, revision)
+	a.mu.Unlock()
+	if !before {
+		a.platform.log.Add(history.Event{
+			Kind: history.Told, Node: a.node, Partner: c.member.Cell, Endpoint: c.member.ID, State: c.member.Phase, At: max(at, 1),
+		})
+	}
+}
+
+// Late sets what every change takes on top of its delay.
+func (a *Agent) Late(extra time.Duration) {
+	a.mu.Lock()
+	a.extra = extra
+	a.mu.Unlock()
+	a.wake()
+}
+
+// Silent lets the agent hear and say nothing, or speak again.
+func (a *Agent) Silent(on bool) {
+	a.mu.Lock()
+	if a.silent && !on {
+		close(a.woken)
+		a.woken = make(chan struct{})
+	}
+	a.silent = on
+	a.mu.Unlock()
+	a.wake()
+}
+
+// Known is the whole list as the agent has it.
+func (a *Agent) Known() List {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.whole()
+}
+
+// whole is the list; the lock is held.
+func (a *Agent) whole() List {
+	at := map[string]change{}
+	for _, c := range a.known {
+		at[c.member.ID] = c
+	}
+	l := List{Revision: int64(len(a.known)), Complete: true, Members: []Member{}}
+	for _, c := range at {
+		if c.member.Phase != history.Deleted {
+			l.Members = append(l.Members, a.member(c))
+		}
+	}
+	slices.SortFunc(l.Members, func(x, y Member) int { return cmp.Compare(x.ID, y.ID) })
+	return l
+}
+
+func (a *Agent) member(c change) Member {
+	m := c.member
+	m.Addr = c.addr(a.node)
+	return m
+}
+
+// since is what changed after a revision, or the whole list if that can't be told; the lock is held.
+func (a *Agent) since(after int64) List {
+	if after < 0 || after > int64(len(a.known)) {
+		return a.whole()
+	}
+	l := List{Revision: int64(len(a.known)), Members: []Member{}}
+	last := map[string]int{}
+	for i, c := range a.known[after:] {
+		last[c.member.ID] = i
+	}
+	for i, c := range a.known[after:] {
+		if last[c.member.ID] == i {
+			l.Members = append(l.Members, a.member(c))
+		}
+	}
+	return l
+}
+
+// Listen opens the agent's address. An address it had before takes no more connections, and keeps those that it has
+// for a while.
+func (a *Agent) Listen(addr string) error {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return fmt.Errorf("discovery of node %d: %w", a.node, err)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /registry/instances", a.list)
+	mux.HandleFunc("POST /reports", a.reports)
+	srv := &http.Server{Handler: mux, ReadHeaderTimeout: 30 * time.Second}
+	a.mu.Lock()
+	old := a.srv
+	a.srv, a.addr = srv, ln.Addr().String()
+	a.closers = append(a.closers, srv)
+	a.mu.Unlock()
+	a.wg.Go(func() { srv.Serve(ln) })
+	if old != nil {
+		a.wg.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), oldAgent)
+			defer cancel()
+			old.Shutdown(ctx) // the listener at once
+			old.Close()
+		})
+	}
+	return nil
+}
+
+// Addr is the agent's present address.
+func (a *Agent) Addr() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.addr
+}
+
+func (a *Agent) close() {
+	a.cancel()
+	a.mu.Lock()
+	servers := a.closers
+	a.mu.Unlock()
+	for _, s := range servers {
+		s.Close()
+	}
+	a.wg.Wait()
+}
+
+// speak waits until the agent may, or the request ends.
+func (a *Agent) speak(ctx context.Context) bool {
+	for {
+		a.mu.Lock()
+		silent, woken := a.silent, a.woken
+		a.mu.Unlock()
+		if !silent {
+			return true
+		}
+		select {
+		case <-woken:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+func (a *Agent) list(w http.ResponseWriter, req *http.Request) {
+	if !a.speak(req.Context()) {
+		return
+	}
+	enc := json.NewEncoder(w)
+	w.Header().Set("Content-Type", "application/json")
+	if req.URL.Query().Get("watch") != "1" {
+		enc.Encode(a.Known())
+		return
+	}
+	after, err := strconv.ParseInt(req.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		after = -1
+	}
+	flush := http.NewResponseController(w)
+	beat := time.NewTicker(heartbeat)
+	defer beat.Stop()
+	first := true
+	for {
+		if !a.speak(req.Context()) {
+			return
+		}
+		a.mu.Lock()
+		l, news := a.since(after), a.news
+		a.mu.Unlock()
+		if first || len(l.Members) > 0 {
+			if enc.Encode(l) != nil || flush.Flush() != nil {
+				return
+			}
+			after, first = l.Revision, false
+		}
+		select {
+		case <-news:
+		case <-beat.C:
+			if a.speak(req.Context()) {
+				io.WriteString(w, "\n")
+				if flush.Flush() != nil {
+					return
+				}
+			}
+		case <-req.Context().Done():
+			return
+		}
+	}
+}
+
+func (a *Agent) reports(w http.ResponseWriter, req *http.Request) {
+	type notice struct {
+		ID    string  `json:"id"`
+		State string  `json:"state"`
+		After float64 `json:"after_ms"`
+	}
+	var all []notice
+	lines := bufio.NewScanner(io.LimitReader(req.Body, 4*maxBody))
+	lines.Buffer(nil, maxBody)
+	for lines.Scan() {
+		if len(lines.Bytes()) == 0 {
+			continue
+		}
+		var n notice
+		if json.Unmarshal(lines.Bytes(), &n) != nil || n.ID == "" || (n.State != history.Failed && n.State != history.Returned) {
+			http.Error(w, "unreadable", http.StatusBadRequest)
+			return
+		}
+		all = append(all, n)
+	}
+	if lines.Err() != nil {
+		http.Error(w, "unreadable", http.StatusBadRequest)
+		return
+	}
+	for _, n := range all {
+		after := time.Duration(n.After * float64(time.Millisecond))
+		a.platform.log.Add(history.Event{Kind: history.Noticed, Node: a.node, Partner: -1, ID: n.ID, State: n.State, Wait: after})
+		a.heard(n.ID, n.State, after)
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
