Links: reset what slipped into the queue as a path was cut

Now the filler is there before the cut is told, and what is in the queue at its end is reset. A test lets a connection slip in; without the change its bytes come through.

--- a/internal/lab/relay/relay.go
+++ b/internal/lab/relay/relay.go
@@ -34,7 +34,7 @@
 	fillerTimeout = 30 * time.Millisecond // of a dial that the full queue leaves without an answer
 )
 
-// fillerIP is where fillers come from, which is how they are told from others.
+// fillerIP is where a filler comes from, which is how it is told from others.
 var fillerIP = net.IPv4(127, 255, 255, 2)
 
 // Link listens at one address and passes each connection on to where dial leads. Close ends it and all that it holds.
@@ -53,7 +53,7 @@
 	weather Weather
 	changed chan struct{} // closed at each change of weather
 	pairs   map[*Pair]bool
-	fillers []net.Conn // they keep the accept queue full
+	filler  net.Conn // it keeps the accept queue full
 	rand    *rand.Rand
 }
 
@@ -156,41 +156,44 @@
 	if on {
 		backlog = 0
 	}
-	raw.Control(func(fd uintptr) { syscall.Listen(int(fd), backlog) })
+	raw.Control(func(fd uintptr) {
+		if !on {
+			resetQueued(int(fd))
+		}
+		syscall.Listen(int(fd), backlog)
+	})
 	if !on {
 		l.ln.SetDeadline(time.Time{})
-		l.dropFillers()
+		l.dropFiller()
 		return
 	}
 	l.ln.SetDeadline(time.Unix(1, 0))
-	ln := l.ln
-	l.wg.Go(func() { // until the queue takes no more
-		for range 4 {
-			d := net.Dialer{Timeout: fillerTimeout, LocalAddr: &net.TCPAddr{IP: fillerIP}}
-			c, err := d.DialContext(l.ctx, "tcp", ln.Addr().String())
-			if err != nil {
-				return
-			}
-			l.mu.Lock()
-			held := l.held
-			if held {
-				l.fillers = append(l.fillers, c)
-			}
-			l.mu.Unlock()
-			if !held {
-				c.Close()
-				return
-			}
+	// One fills a queue of no length. Without it the queue is full already: somebody else has slipped in.
+	d := net.Dialer{Timeout: fillerTimeout, LocalAddr: &net.TCPAddr{IP: fillerIP}}
+	if c, err := d.DialContext(l.ctx, "tcp", l.ln.Addr().String()); err == nil {
+		l.filler = c
+	}
+}
+
+// resetQueued resets the connections that wait in a listener's queue. One may have slipped in just as the path was cut:
+// when its bytes came can't be told, and they must not pass as news once the path is whole.
+func resetQueued(fd int) {
+	for {
+		nfd, _, err := syscall.Accept4(fd, syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+		if err != nil {
+			return
 		}
-	})
+		syscall.SetsockoptLinger(nfd, syscall.SOL_SOCKET, syscall.SO_LINGER, &syscall.Linger{Onoff: 1})
+		syscall.Close(nfd)
+	}
 }
 
-// dropFillers ends them; the lock is held.
-func (l *Link) dropFillers() {
-	for _, c := range l.fillers {
-		c.Close()
+// dropFiller ends it; the lock is held.
+func (l *Link) dropFiller() {
+	if l.filler != nil {
+		l.filler.Close()
+		l.filler = nil
 	}
-	l.fillers = nil
 }
 
 // Refuse closes the address, or opens it again. Open connections stay.
@@ -237,7 +240,7 @@
 		l.ln.Close()
 		l.ln = nil
 	}
-	l.dropFillers()
+	l.dropFiller()
 	l.mu.Unlock()
 	l.Reset()
 	l.wg.Wait()
--- a/internal/lab/relay/relay_test.go
+++ b/internal/lab/relay/relay_test.go
@@ -148,6 +148,23 @@
 	}
 }
 
+// A connection that slipped into the queue as the path was cut is reset once it is whole, whatever was written to it.
+func TestCutResetsWhatSlippedIn(t *testing.T) {
+	l := link(t, echo(t))
+	l.mu.Lock()
+	l.ln.SetDeadline(time.Unix(1, 0)) // nothing is accepted, and no filler is there yet
+	l.held = true
+	l.weather = Weather{CutOut: true}
+	l.mu.Unlock()
+	nc := dial(t, l.Addr())
+	io.WriteString(nc, "written in the cut\n")
+	l.Set(Weather{})
+	if n, err := nc.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("%d bytes, %v; want a reset", n, err)
+	}
+	says(t, dial(t, l.Addr()), "after the cut")
+}
+
 // Cut on its way back, a call arrives and its answer does not.
 func TestOneWay(t *testing.T) {
 	for name, w := range map[string]Weather{"cut": {CutBack: true}, "swallowed": {Swallow: 1}} {
