--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -36,6 +36,14 @@
 	n   int
 }
 
+// act is something that is done once the records before it are written.
+type act struct {
+	do func()
+	// From then on it needs no guard: a message whose time is up is not sent any more, so a life that knows nothing of
+	// its end could but end it once more. Zero: never.
+	free time.Time
+}
+
 // outCall is the call that an attempt is out in; one with several messages stands there for each of them.
 type outCall struct {
 	m      *past
@@ -62,7 +70,7 @@
 	waits    map[int]*atomic.Int64 // of destinations whose endpoints share them
 	owed     []notice              // not yet handed to the reporter
 	held     int                   // messages without their final answer
-	acts     []func()              // what the records that are not yet written guard, in order
+	acts     []act                 // what the records that are not yet written guard, in order
 	figures  *figures
 	stage    atomic.Int32  // shared
 	wakeAt   time.Duration // of the module; 0 none
@@ -510,7 +518,7 @@
 		fresh[p.seq] = append(fresh[p.seq], a)
 		return nil
 	case p != nil: // taken on before: handed in again it has no second effect
-		n.acts = append(n.acts, func() { a.reply <- answer{} })
+		n.acts = append(n.acts, act{do: func() { a.reply <- answer{} }})
 		return nil
 	case !n.sender.Knows(a.dest):
 		a.reply <- answer{failed: "unknown destination"}
@@ -615,7 +623,7 @@
 		o.reply <- ErrUnknown
 		return nil
 	}
-	n.acts = append(n.acts, func() { o.reply <- nil })
+	n.acts = append(n.acts, act{do: func() { o.reply <- nil }})
 	if was != o.lift {
 		return nil
 	}
@@ -720,11 +728,11 @@
 		case choice.Fail:
 			n.end(a.ID, ending{failed: true}, fresh)
 		case choice.Cancel:
-			n.acts = append(n.acts, func() {
+			n.acts = append(n.acts, act{do: func() {
 				if c, ok := n.out[attempt{seqOf(a.ID), a.Attempt}]; ok {
 					c.cancel()
 				}
-			})
+			}})
 		case choice.HangUp:
 			n.pool.hangUp(a.Endpoint, a.Keep)
 		case choice.Wake:
@@ -736,19 +744,32 @@
 		}
 	}
 	for seq := range fresh { // not refused, so taken on
-		n.acts = append(n.acts, func() { fresh.reply(seq, answer{}) })
+		n.acts = append(n.acts, act{do: func() { fresh.reply(seq, answer{}) }})
 	}
 	n.show()
 	if err := n.journal.flush(); err != nil {
 		n.log.Error("waiting for the journal", "acts", len(n.acts), "err", err)
+		n.unguarded(time.Now())
 		return
 	}
-	for _, act := range n.acts {
-		act()
+	for _, a := range n.acts {
+		a.do()
 	}
 	n.acts = n.acts[:0]
 }
 
+// unguarded does what needs no guard any more, while the journal can't be written: a full disk must not keep from the
+// platform what has become of a message, nor from the module that a call was never begun.
+func (n *Node) unguarded(now time.Time) {
+	n.acts = slices.DeleteFunc(n.acts, func(a act) bool {
+		if a.free.IsZero() || now.Before(a.free) {
+			return false
+		}
+		a.do()
+		return true
+	})
+}
+
 // show brings the figures that the loop alone knows up to date.
 func (n *Node) show() {
 	listed, avoided := n.sender.Pool()
@@ -770,14 +791,14 @@
 		if e.failed {
 			reply = answer{failed: "the message failed"}
 		}
-		n.acts = append(n.acts, func() { newcomers{p.seq: all}.reply(p.seq, reply) })
+		n.acts = append(n.acts, act{do: func() { newcomers{p.seq: all}.reply(p.seq, reply) }})
 		return
 	}
 	n.held--
 	n.figures.told(p.class, e.failed)
 	n.journal.add(endedRecord(p.seq, e))
 	notice := newNotice(p)
-	n.acts = append(n.acts, func() { n.owed = append(n.owed, notice) })
+	n.acts = append(n.acts, act{do: func() { n.owed = append(n.owed, notice) }, free: p.deadline})
 }
 
 // outgoing is a call while its step gathers the messages for it.
@@ -786,6 +807,7 @@
 	attempts []attempt
 	messages []*past
 	room     int // what its items take in a batch's body
+	place    int // among the acts
 }
 
 // send journals an attempt, and makes the call once that is written. What the module sends together travels as one
@@ -808,7 +830,8 @@
 		o = &outgoing{call: call{endpoint: e}}
 		o.wrote = func() { n.wrote(o) }
 		calls[a.Call] = o
-		n.acts = append(n.acts, func() { n.call(ctx, o) })
+		o.place = len(n.acts)
+		n.acts = append(n.acts, act{do: func() { n.call(ctx, o) }})
 	}
 	o.items, o.room = append(o.items, one), o.room+one.room()
 	o.attempts, o.messages = append(o.attempts, name), append(o.messages, p)
@@ -820,6 +843,7 @@
 		o.startBy = t
 	}
 	o.fresh = o.fresh || a.Fresh
+	n.acts[o.place].free = o.notPast // begun then, it ends at once as one that was never sent
 }
 
 // wrote counts the messages of a call that is written whole.
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -712,6 +712,39 @@
 	}
 }
 
+// A journal that can't be written guards nothing that a later life could do wrong once a message's time is up: the
+// platform hears of its end all the same, be it held or about to be sent. Nothing is sent that was not written down.
+func TestEndsInTimeOnAFullDisk(t *testing.T) {
+	t.Parallel()
+	full, err := os.OpenFile("/dev/full", os.O_RDWR, 0)
+	if err != nil {
+		t.Skip("no /dev/full here")
+	}
+	p, r, state := newPartner(t, says(delivered)), newRegistry(t), t.TempDir()
+	j := openTest(t, state, 3)
+	for id, life := range map[string]time.Duration{"late": -time.Second, "soon": 300 * time.Millisecond} {
+		if _, err := j.accept(&past{id: id, class: 0, dest: 7, deadline: time.Now().Add(life)}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	mustFlush(t, j)
+	addr, _ := startSeen(t, r, state, func(n *Node) {
+		n.journal.f = full
+		if err := os.Mkdir(j.path()+".new", 0o700); err != nil { // no compaction either
+			t.Error(err)
+		}
+	}, serving("e", p.addr(), 7, "SERVING"))
+	eventually(t, "the end of the one whose time was up", func() bool { return r.state("late") != "" })
+	eventually(t, "the end of the one that could not be sent", func() bool { return r.state("soon") != "" })
+	if calls, _ := p.counts(); calls != 0 {
+		t.Errorf("%d calls that no record guarded", calls)
+	}
+	if err := os.Remove(j.path() + ".new"); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "messages are taken on again", func() bool { return ask(t, addr, enqueue("a", ofStatus, "x")) == "+OK" })
+}
+
 // After SIGTERM clients are answered as ever, the process ends well by itself, and the next one has what was held.
 func TestSIGTERM(t *testing.T) {
 	t.Parallel()
