Read an answer that came while the process did not run, before a call is given up

The call's time had run out in the stop, and its end (context.AfterFunc in pool.do) closed the connection before anybody read it. Ruled out: a lost answer (the link saw it written) and the module (it was told of a time-out, and an order may be repeated in its window).

The test lets an answer come while reads stand still, and fails without the change (too slow); 20 times with -race.

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -12,10 +12,12 @@
 	"math"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"starlingusher/choice"
@@ -34,6 +36,7 @@
 	loadHeader    = "Endpoint-Load-Metrics"
 	maxContinues  = 8 // 1xx answers ahead of the real one
 	longestWait   = 10 * time.Minute
+	lastLooks     = 3   // at what has come, when a call's time is up
 	mostLeft      = 2   // in a load report: of a share, which may be noisy,
 	mostLimit     = 1e6 // and of a limit
 )
@@ -96,7 +99,8 @@
 	addr    string
 	limit   *io.LimitedReader
 	br      *bufio.Reader
-	watched chan error // the idle watch's end
+	watched chan error  // the idle watch's end
+	timeUp  atomic.Bool // of its call
 }
 
 func newPool(dialTimeout, connIdle time.Duration, maxIdle int) *pool {
@@ -145,7 +149,7 @@
 		p.give(c.endpoint, k)
 		return result{outcome: choice.Stale}
 	}
-	stop := context.AfterFunc(ctx, func() { k.Close() })
+	stop := context.AfterFunc(ctx, func() { k.giveUp(ctx) })
 	res, reuse := k.exchange(ctx, request, c)
 	res.kept = kept
 	if stop() && reuse {
@@ -208,8 +212,34 @@
 }
 
 func newConn(nc net.Conn, addr string) *conn {
-	l := &io.LimitedReader{R: nc}
-	return &conn{Conn: nc, addr: addr, limit: l, br: bufio.NewReaderSize(l, 4096)}
+	k := &conn{Conn: nc, addr: addr}
+	k.limit = &io.LimitedReader{R: k}
+	k.br = bufio.NewReaderSize(k.limit, 4096)
+	return k
+}
+
+// Read looks a last time when the call's time is up: a deadline that passed while the process did not run says nothing
+// of an answer that has come meanwhile.
+func (k *conn) Read(p []byte) (int, error) {
+	n, err := k.Conn.Read(p)
+	for look := 0; look < lastLooks && n == 0 && k.timeUp.Load() && errors.Is(err, os.ErrDeadlineExceeded); look++ {
+		if lerr := k.SetReadDeadline(time.Now().Add(lookTime)); lerr != nil {
+			break
+		}
+		n, err = k.Conn.Read(p)
+	}
+	return n, err
+}
+
+// giveUp ends a call whose context has ended. One that is called off is cut, one whose time is up may still have an
+// answer that nobody has read.
+func (k *conn) giveUp(ctx context.Context) {
+	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		k.Close()
+		return
+	}
+	k.timeUp.Store(true)
+	k.SetDeadline(time.Unix(1, 0))
 }
 
 // exchange writes the request and reads the answer; reuse tells that the connection is good for another call.
@@ -245,6 +275,9 @@
 		if err := k.SetReadDeadline(time.Now().Add(answerTimeout)); err != nil {
 			return result{}, false, fmt.Errorf("answer: %w", err)
 		}
+		if k.timeUp.Load() { // what has come is read, and nothing is waited for
+			k.SetReadDeadline(time.Unix(1, 0))
+		}
 		code, err := k.status()
 		heard := time.Now()
 		if err != nil {
--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -6,11 +6,13 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"reflect"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -528,3 +530,63 @@
 		})
 	}
 }
+
+// stopped is a connection whose first read goes on until its deadline is set to a time in the past, as if the process
+// had been stopped while the answer came.
+type stopped struct {
+	net.Conn
+	came  <-chan struct{} // the answer has
+	again atomic.Bool
+	wake  chan struct{}
+	once  sync.Once
+}
+
+func (s *stopped) Read(p []byte) (int, error) {
+	if s.again.Swap(true) {
+		return s.Conn.Read(p)
+	}
+	<-s.wake
+	<-s.came
+	return 0, os.ErrDeadlineExceeded
+}
+
+func (s *stopped) SetDeadline(t time.Time) error {
+	defer s.once.Do(func() { close(s.wake) })
+	return s.Conn.SetDeadline(t)
+}
+
+func (s *stopped) Close() error {
+	defer s.once.Do(func() { close(s.wake) })
+	return s.Conn.Close()
+}
+
+// An answer that came while the process did not run is read, though the call's time is up by then.
+func TestAnswerThatCameWhileStopped(t *testing.T) {
+	came := make(chan struct{})
+	partner := newPartner(t, says(delivered))
+	p := testPool()
+	dial := p.dialer
+	p.dialer = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		nc, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		go func() { // until the first byte of the answer lies there, or the test is over
+			defer close(came)
+			raw, err := nc.(*net.TCPConn).SyscallConn()
+			if err != nil {
+				return
+			}
+			raw.Read(func(fd uintptr) bool {
+				n, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+				return n > 0 || err != syscall.EAGAIN
+			})
+		}()
+		return &stopped{Conn: nc, came: came, wake: make(chan struct{})}, nil
+	}
+	c := testCall(endpointAt(partner.addr()))
+	c.notPast = time.Now().Add(200 * time.Millisecond)
+	if got := p.do(t.Context(), c); got.outcome != choice.Pass {
+		t.Errorf("got %+v", got)
+	}
+}
