--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -41,6 +41,7 @@
 	over   bool // the run is; nothing is started any more
 	full   bool // its disk
 	down   int  // faults that keep it down
+	paused bool // by SIGSTOP
 	starts int
 	use    ProcessUse
 }
@@ -210,7 +211,7 @@
 func (n *node) up() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.ready && !n.asked
+	return n.ready && !n.asked && !n.paused
 }
 
 // signal sends a signal to the present process, and notes it.
@@ -223,6 +224,7 @@
 	if kind == history.Term || kind == history.Killed {
 		n.asked = true
 	}
+	n.paused = kind == history.Stopped
 	n.event(kind, "", "")
 	return n.p, n.p.Signal(sig)
 }
--- a/internal/lab/standin/clients.go
+++ b/internal/lab/standin/clients.go
@@ -398,10 +398,13 @@
 }
 
 func (c *Clients) beRude(ctx context.Context, r experiment.Rudeness) {
+	if !c.alive(r.Node) {
+		return // a node that does not run owes it nothing
+	}
 	var d net.Dialer
 	nc, err := d.DialContext(ctx, "tcp", c.addr(r.Node))
 	if err != nil {
-		return // no node is there to be rude to
+		return // it has just gone
 	}
 	defer nc.Close()
 	stop := context.AfterFunc(ctx, func() { nc.Close() })
