--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -74,7 +74,9 @@
 	figures  *figures
 	stage    atomic.Int32  // shared
 	wakeAt   time.Duration // of the module; 0 none
-	calls    sync.WaitGroup
+	// The journal could not be written since then; zero: it can be.
+	stuckSince time.Time
+	calls      sync.WaitGroup
 
 	members  map[string]member // the list, as discovery last told it
 	revision int64
@@ -491,8 +493,7 @@
 		}
 	}
 	// What the module is about to be told of, and the clients with it, rests on these records.
-	if err := n.journal.flush(); err != nil && len(fresh) > 0 {
-		n.log.Error("messages turned away", "err", err)
+	if !n.flush() && len(fresh) > 0 { // these are turned away
 		events = slices.DeleteFunc(events, func(e choice.Event) bool {
 			_, isNew := e.(choice.Arrived)
 			return isNew
@@ -747,8 +748,7 @@
 		n.acts = append(n.acts, act{do: func() { fresh.reply(seq, answer{}) }})
 	}
 	n.show()
-	if err := n.journal.flush(); err != nil {
-		n.log.Error("waiting for the journal", "acts", len(n.acts), "err", err)
+	if !n.flush() {
 		n.unguarded(time.Now())
 		return
 	}
@@ -758,6 +758,21 @@
 	n.acts = n.acts[:0]
 }
 
+// flush writes the journal, and tells whether it could. The log hears of it when that changes, not each time: it is
+// tried again ten times a second and at every message.
+func (n *Node) flush() bool {
+	err := n.journal.flush()
+	switch {
+	case err != nil && n.stuckSince.IsZero():
+		n.stuckSince = time.Now()
+		n.log.Error("the journal can't be written; messages are turned away until it can", "acts", len(n.acts), "err", err)
+	case err == nil && !n.stuckSince.IsZero():
+		n.log.Info("the journal is written again", "after", time.Since(n.stuckSince).Round(time.Millisecond))
+		n.stuckSince = time.Time{}
+	}
+	return err == nil
+}
+
 // unguarded does what needs no guard any more, while the journal can't be written: a full disk must not keep from the
 // platform what has become of a message, nor from the module that a call was never begun.
 func (n *Node) unguarded(now time.Time) {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -745,6 +746,37 @@
 	eventually(t, "messages are taken on again", func() bool { return ask(t, addr, enqueue("a", ofStatus, "x")) == "+OK" })
 }
 
+// However often a journal can't be written, the log has one line when that begins and one when it ends.
+func TestOneLineForAJournalThatIsStuck(t *testing.T) {
+	n := bareNode(t, held())
+	var lines bytes.Buffer
+	n.log = slog.New(slog.NewTextHandler(&lines, nil))
+	good, block := n.journal.f, n.journal.path()+".new"
+	t.Cleanup(func() { good.Close() })
+	full, err := os.OpenFile("/dev/full", os.O_RDWR, 0)
+	if err != nil {
+		t.Skip("no /dev/full here")
+	}
+	if err := os.Mkdir(block, 0o700); err != nil { // no compaction either
+		t.Fatal(err)
+	}
+	n.journal.f = full
+	for i := range 20 {
+		n.take(t.Context(), []any{handIn("a"+itoa(i), time.Minute)})
+	}
+	if err := os.Remove(block); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the journal is written again", func() bool {
+		n.take(t.Context(), nil)
+		return !n.journal.broken
+	})
+	got := lines.String()
+	if strings.Count(got, "can't be written") != 1 || strings.Count(got, "written again") != 1 || strings.Count(got, "\n") != 2 {
+		t.Errorf("the log says:\n%s", got)
+	}
+}
+
 // After SIGTERM clients are answered as ever, the process ends well by itself, and the next one has what was held.
 func TestSIGTERM(t *testing.T) {
 	t.Parallel()
