The lab's lateness is told for each of its parts, and events are kept in pieces

One histogram held clients, partners and links together, and the many pieces on links hid that hand-ins were late: at 4000 messages a second 21.7 ms in the 99th percentile, with 1.4 on the links. The log of events grew by copying itself whole under its lock. The worst part decides whether a run is spoilt.

--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -11,6 +11,7 @@
 	"starlingusher/fleet/experiment"
 	"starlingusher/fleet/history"
 	"starlingusher/fleet/partner"
+	"starlingusher/internal/lab/observe"
 	"starlingusher/internal/lab/relay"
 	"starlingusher/internal/lab/standin"
 )
@@ -40,7 +41,7 @@
 		if !sleepUntil(ctx, r.log.Wall(s.at)) {
 			return
 		}
-		r.log.Late(r.log.Now() - s.at)
+		r.log.Late(observe.ByTimeline, r.log.Now()-s.at)
 		note := "begins: "
 		if s.ends {
 			note = "ends: "
--- a/internal/lab/observe/observe.go
+++ b/internal/lab/observe/observe.go
@@ -11,22 +11,35 @@
 	"starlingusher/fleet/tally"
 )
 
+// Part is a part of the lab that has something to do at a time.
+type Part string
+
+// The parts.
+const (
+	ByClients  Part = "clients"  // handing in
+	ByPartners Part = "partners" // answering, by the model's time
+	ByLinks    Part = "links"    // passing on, by their delay
+	ByTimeline Part = "timeline" // faults
+)
+
 // Log takes events from any goroutine.
 type Log struct {
 	start atomic.Pointer[time.Time]
 
 	mu     sync.Mutex
-	events []history.Event
-	late   tally.Recorder
+	events [][]history.Event // in pieces: one slice that grows is copied whole, and all wait
+	late   map[Part]tally.Recorder
 	counts map[history.Kind]int
 }
 
+const pieceSize = 4096 // events
+
 // notYet is how far off the start is while nobody knows when it will be.
 const notYet = 24 * time.Hour
 
 // NewLog makes a log whose clock is far under zero until Begin.
 func NewLog() *Log {
-	l := &Log{late: tally.NewRecorder(), counts: map[history.Kind]int{}}
+	l := &Log{late: map[Part]tally.Recorder{}, counts: map[history.Kind]int{}}
 	start := time.Now().Add(notYet)
 	l.start.Store(&start)
 	return l
@@ -38,11 +51,13 @@
 	defer l.mu.Unlock()
 	now := time.Now()
 	early := now.Sub(*l.start.Load())
-	for i := range l.events {
-		l.events[i].At -= early
+	for _, piece := range l.events {
+		for i := range piece {
+			piece[i].At -= early
+		}
 	}
 	l.start.Store(&now)
-	l.late = tally.NewRecorder()
+	clear(l.late)
 }
 
 // Now is the run's time.
@@ -61,22 +76,47 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.events = append(l.events, e)
+	last := len(l.events) - 1
+	if last < 0 || len(l.events[last]) == cap(l.events[last]) {
+		l.events = append(l.events, make([]history.Event, 0, pieceSize))
+		last++
+	}
+	l.events[last] = append(l.events[last], e)
 	l.counts[e.Kind]++
 }
 
-// Late notes by how much the lab was behind with something.
-func (l *Log) Late(by time.Duration) {
+// Late notes by how much a part of the lab was behind with something.
+func (l *Log) Late(part Part, by time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.late.Record(by)
+	r, ok := l.late[part]
+	if !ok {
+		r = tally.NewRecorder()
+		l.late[part] = r
+	}
+	r.Record(by)
 }
 
-// Lateness is how late the lab was so far.
-func (l *Log) Lateness() tally.Times {
+// Lateness is how late each part of the lab was so far.
+func (l *Log) Lateness() map[Part]tally.Times {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.late.Times()
+	out := map[Part]tally.Times{}
+	for part, r := range l.late {
+		out[part] = r.Times()
+	}
+	return out
+}
+
+// Latest is the lateness of the part that was latest, by the 99th percentile.
+func Latest(all map[Part]tally.Times) tally.Times {
+	var worst tally.Times
+	for _, t := range all {
+		if t.P99 > worst.P99 {
+			worst = t
+		}
+	}
+	return worst
 }
 
 // Count is how many events of a kind there are so far.
@@ -90,7 +130,7 @@
 func (l *Log) Events() []history.Event {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	out := slices.Clone(l.events)
+	out := slices.Concat(l.events...)
 	history.Sort(out)
 	if i := slices.IndexFunc(out, func(e history.Event) bool { return e.Kind == history.End }); i >= 0 {
 		out = out[:i+1]
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -91,7 +91,11 @@
 		fmt.Fprintf(&b, "| %s | %d | %v | %.1f | %d | %d |\n", u.Node, u.Starts, u.CPU.Round(10*time.Millisecond), float64(u.RSS)/(1<<20), u.Descriptors,
 			u.Disk>>10)
 	}
-	fmt.Fprintf(&b, "\nThe lab itself was late by %v in the median, %v in the 99th percentile, %v at most.\n", res.Lateness.P50, res.Lateness.P99, res.Lateness.Max)
+	b.WriteString("\n| the lab itself, late with | times | median | 99th percentile | most |\n|" + strings.Repeat(" --- |", 5) + "\n")
+	for _, part := range sortedKeys(res.LateBy) {
+		l := res.LateBy[part]
+		fmt.Fprintf(&b, "| %s | %d | %v | %v | %v |\n", part, l.Count, l.P50, l.P99, l.Max)
+	}
 	path := filepath.Join(dir, ReportFile)
 	if err := os.WriteFile(path, []byte(b.String()), 0o644); err != nil {
 		return "", fmt.Errorf("report: %w", err)
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -1,10 +1,12 @@
 package lab
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io/fs"
+	"maps"
 	"os"
 	"path/filepath"
 	"runtime"
@@ -15,6 +17,7 @@
 	"starlingusher/fleet/history"
 	"starlingusher/fleet/judge"
 	"starlingusher/fleet/tally"
+	"starlingusher/internal/lab/observe"
 	"starlingusher/internal/lab/standin"
 )
 
@@ -39,15 +42,16 @@
 	Kept         bool          `json:"kept"` // all expectations
 	Expectations []Expectation `json:"expectations"`
 	// Spoilt says that the lab itself was too late or failed: what the run shows of the nodes is not to be trusted.
-	Spoilt   []string           `json:"spoilt,omitempty"`
-	Breaches []judge.Breach     `json:"breaches"`
-	Tally    tally.Report       `json:"tally"`
-	Lateness tally.Times        `json:"lateness"` // of the lab
-	Use      []ProcessUse       `json:"processes"`
-	Rude     standin.RudeCount  `json:"rude_peers"`
-	Faults   []string           `json:"faults"`
-	Kinds    map[string]int     `json:"events"`
-	Limits   map[string]float64 `json:"limits"` // of partners, calls a second
+	Spoilt   []string                     `json:"spoilt,omitempty"`
+	Breaches []judge.Breach               `json:"breaches"`
+	Tally    tally.Report                 `json:"tally"`
+	Lateness tally.Times                  `json:"lateness"` // of the lab: its part that was latest
+	LateBy   map[observe.Part]tally.Times `json:"lateness_by"`
+	Use      []ProcessUse                 `json:"processes"`
+	Rude     standin.RudeCount            `json:"rude_peers"`
+	Faults   []string                     `json:"faults"`
+	Kinds    map[string]int               `json:"events"`
+	Limits   map[string]float64           `json:"limits"` // of partners, calls a second
 
 	Events []history.Event `json:"-"`
 }
@@ -65,9 +69,13 @@
 	res := &Result{
 		Experiment: r.plan.Name, About: r.plan.About, Seed: r.plan.Seed, Command: r.opts.Command, Began: began, Took: time.Since(began),
 		Length: r.plan.End(), Nodes: len(r.plan.Nodes), Cores: runtime.NumCPU(), Breaches: judge.Find(r.plan.Judge(), events),
-		Tally: tally.Count(r.plan.Tally(), events), Lateness: r.log.Lateness(), Rude: r.clients.Rude(), Spoilt: r.failed, Events: events,
+		Tally: tally.Count(r.plan.Tally(), events), LateBy: r.log.Lateness(), Rude: r.clients.Rude(), Spoilt: r.failed, Events: events,
 		Kinds: map[string]int{}, Limits: map[string]float64{},
 	}
+	res.Lateness = observe.Latest(res.LateBy)
+	if res.Breaches == nil {
+		res.Breaches = []judge.Breach{} // a list in JSON, too
+	}
 	for _, e := range events {
 		res.Kinds[string(e.Kind)]++
 	}
@@ -196,11 +204,4 @@
 	return events, nil
 }
 
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -47,8 +47,7 @@
 	Handed    int // messages, each try
 	Calls     int
 	Notices   int
-	Ready     int // nodes
-	Note      string
+	Ready     int           // nodes
 	Lateness  time.Duration // 99th percentile so far
 	Preparing bool
 }
@@ -269,7 +268,7 @@
 		}
 		r.progress(Progress{
 			At: r.log.Now(), End: r.plan.End(), Handed: r.log.Count(history.HandedIn), Calls: r.log.Count(history.CallBegan),
-			Notices: r.log.Count(history.Noticed), Ready: up, Lateness: r.log.Lateness().P99,
+			Notices: r.log.Count(history.Noticed), Ready: up, Lateness: observe.Latest(r.log.Lateness()).P99,
 		})
 	}
 }
--- a/internal/lab/standin/clients.go
+++ b/internal/lab/standin/clients.go
@@ -94,7 +94,7 @@
 		if !sleepUntil(ctx, c.log.Wall(a.At)) {
 			break
 		}
-		c.log.Late(c.log.Now() - a.At)
+		c.log.Late(observe.ByClients, c.log.Now()-a.At)
 		c.wg.Go(func() { c.handIn(ctx, i+1, a.Node, false) })
 	}
 	<-ctx.Done()
--- a/internal/lab/standin/partner.go
+++ b/internal/lab/standin/partner.go
@@ -102,7 +102,7 @@
 	for n := range p.nodes {
 		link, err := relay.Listen(addr(n), uint64(index)<<32|uint64(n), func(ctx context.Context, pair *relay.Pair) (net.Conn, error) {
 			return e.connect(ctx, n, pair)
-		}, p.log.Late)
+		}, func(by time.Duration) { p.log.Late(observe.ByLinks, by) })
 		if err != nil {
 			e.close()
 			return nil, fmt.Errorf("endpoint %s: %w", id, err)
@@ -230,7 +230,7 @@
 		return
 	}
 	if now := p.log.Now(); now >= p.due {
-		p.log.Late(now - p.due)
+		p.log.Late(observe.ByPartners, now-p.due)
 	}
 	p.step(partner.Tick{})
 }
