lab run: leave no folder behind when it is ended early, and say where the logs are when it fails

Ctrl-C left a folder for each such run, and a failed start did not name the one that tells why. Tried by hand: SIGTERM after 4 s leaves neither folder nor process, a node that can't start names its log.

--- a/cmd/cottonrack/lab.go
+++ b/cmd/cottonrack/lab.go
@@ -119,9 +119,13 @@
 	show, done := a.progress(plan.Name, plan.Seed, len(plan.Nodes))
 	res, err := lab.Play(a.ctx, plan, lab.Options{Command: command, Dir: dir, Progress: show, Log: a.log})
 	done()
-	if err != nil {
+	if err != nil && passing && a.ctx.Err() != nil {
+		os.RemoveAll(dir) // who ends a run early wants nothing of it
 		return nil, fmt.Errorf("%s, seed %d: %w", plan.Name, plan.Seed, err)
 	}
+	if err != nil { // the nodes' logs may tell why
+		return nil, fmt.Errorf("%s, seed %d: %w; the logs are in %s", plan.Name, plan.Seed, err, dir)
+	}
 	if passing && res.Kept {
 		return res, os.RemoveAll(dir)
 	}
