Links: an answer that crosses the end of its connection has not reached the node

What can be shown is that the link takes an answer for read though the node's close had crossed it: the link had not yet seen that end. The kernel has by then (the connection is reset, not half closed), and the link now asks it. A test has both cases.

--- a/internal/lab/relay/relay.go
+++ b/internal/lab/relay/relay.go
@@ -12,6 +12,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Weather is what a link does to what passes. The zero value passes all at once.
@@ -31,6 +33,8 @@
 	maxPieces   = 64 // on the way, of a connection's one direction
 	acceptQueue = 1024
 
+	tcpClose = 7 // TCP_CLOSE of the kernel's states
+
 	fillerTimeout = 30 * time.Millisecond // of a dial that the full queue leaves without an answer
 )
 
@@ -420,6 +424,25 @@
 	return c.Conn.Write(b)
 }
 
+// crossed tells that near had ended before what was just written came to it, though this is not known here yet: its
+// kernel has answered with a reset. One that had read all and ended then leaves the connection half closed.
+func (p *Pair) crossed() bool {
+	raw, err := p.near.SyscallConn()
+	if err != nil {
+		return true
+	}
+	closed := false
+	err = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		closed = err != nil || info.State == tcpClose
+	})
+	if err != nil || !closed {
+		return err != nil
+	}
+	p.ended()
+	return true
+}
+
 // sending notes that something is about to be written to near, and tells whether near is still there. What comes from
 // there next is a new request, and may come before the write has returned here.
 func (p *Pair) sending() bool {
@@ -542,7 +565,7 @@
 			return
 		}
 		if sent != nil {
-			sent(len(x.data), there)
+			sent(len(x.data), there && !p.crossed())
 		}
 	}
 }
--- a/internal/lab/relay/relay_test.go
+++ b/internal/lab/relay/relay_test.go
@@ -242,6 +242,40 @@
 	}
 }
 
+// An answer that crosses the end of the connection is told from one that was read before it.
+func TestCrossed(t *testing.T) {
+	for _, reads := range []bool{true, false} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer ln.Close()
+		nc := dial(t, ln.Addr().String())
+		near, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer near.Close()
+		p := &Pair{near: near.(*net.TCPConn)}
+		if reads {
+			io.WriteString(near, "answer\n")
+			hears(t, nc, "answer")
+			nc.Close()
+			near.Read(make([]byte, 1)) // until its end is here
+		} else {
+			nc.Close()
+			near.Read(make([]byte, 1))
+			io.WriteString(near, "answer\n")
+			for by := time.Now().Add(patience); !p.crossed() && time.Now().Before(by); {
+				time.Sleep(time.Millisecond) // the kernel's answer may take a moment
+			}
+		}
+		if got := p.crossed(); got == reads {
+			t.Errorf("crossed: %v, though it was read: %v", got, reads)
+		}
+	}
+}
+
 // A call is told apart from the one before it on its connection, and its answer's arrival is seen.
 func TestPairWatchesCalls(t *testing.T) {
 	reached := make(chan time.Time, 1)
