--- a/fleet/history/history.go
+++ b/fleet/history/history.go
@@ -24,6 +24,7 @@
 	CallBegan Kind = "call_began" // a call's last byte has come: Call, Partner, Endpoint, IDs, First (its first byte)
 	CallEnded Kind = "call_ended" // it holds no slot any more: Call, Partner, State, Fates, Wait
 	Ran       Kind = "ran"        // a message has taken effect: Call, Partner, ID
+	Opened    Kind = "opened"     // a connection to an endpoint came up: Partner, Endpoint
 	Unreached Kind = "unreached"  // a connection did not come up, or was refused: Partner, Endpoint
 
 	Noticed Kind = "noticed" // the platform has heard the end of a message: ID, State, Wait
--- a/fleet/tally/tally.go
+++ b/fleet/tally/tally.go
@@ -70,7 +70,8 @@
 	Partner  int            `json:"partner"`
 	Calls    int            `json:"calls"`
 	Messages int            `json:"messages"`
-	Ends     map[string]int `json:"ends"` // of calls, by history's states
+	Opened   int            `json:"connections"` // new ones
+	Ends     map[string]int `json:"ends"`        // of calls, by history's states
 }
 
 // Times are the percentiles of a time that was measured often.
@@ -114,6 +115,7 @@
 	Partners  []PartnerLine `json:"partners"`
 	Handed    int           `json:"handed_in"` // all tries of all messages
 	Tries     int           `json:"tries"`     // messages in calls
+	Opened    int           `json:"connections"`
 	Above     int           `json:"calls_above_limit"`
 	Doubled   int           `json:"ran_twice"` // messages that ran more than once, whatever their class
 	Answers   Times         `json:"time_to_answer"`
@@ -196,6 +198,11 @@
 			if m := cases[ids[e.ID]]; m != nil && !m.done {
 				m.state = e.State
 			}
+		case history.Opened:
+			r.Opened++
+			if e.Partner >= 0 && e.Partner < len(r.Partners) {
+				r.Partners[e.Partner].Opened++
+			}
 		case history.CallBegan:
 			began[e.Call] = e.IDs
 			r.Tries += len(e.IDs)
--- a/fleet/tally/tally_test.go
+++ b/fleet/tally/tally_test.go
@@ -35,6 +35,7 @@
 		in(0, 3, "3", 0), answer(ms, "3", history.Refused),
 		in(0, 4, "4", 0), answer(ms, "4", history.Taken), {At: 2 * time.Second, Kind: history.Noticed, Partner: -1, ID: "4", State: history.Failed},
 		in(6*time.Second, 5, "5", 6*time.Second),
+		{At: 590 * ms, Kind: history.Opened},
 		{At: 600 * ms, Kind: history.CallBegan, Call: 1, IDs: []string{"1b", "2"}},
 		{At: 2 * time.Second, Kind: history.CallEnded, Call: 1, State: history.Accepted, Fates: []string{history.FateAccepted, history.FateAccepted}},
 		{At: 2 * time.Second, Kind: history.CallBegan, Call: 2, IDs: []string{"4"}},
@@ -54,7 +55,7 @@
 	if got, want := r.All.Served, 7.5+1; math.Abs(got-want) > 1e-9 || math.Abs(r.All.Asked-41) > 1e-9 {
 		t.Errorf("served %v of %v, want %v of 41", got, r.All.Asked, want)
 	}
-	if r.Above != 1 || r.Tries != 4 || r.Handed != 6 || r.Partners[0].Ends[history.Accepted] != 2 {
+	if r.Above != 1 || r.Tries != 4 || r.Handed != 6 || r.Opened != 1 || r.Partners[0].Opened != 1 || r.Partners[0].Ends[history.Accepted] != 2 {
 		t.Errorf("got %+v", r)
 	}
 	if len(r.Stretches) != 2 || r.Stretches[1].Messages != 1 {
--- a/internal/lab/compare.go
+++ b/internal/lab/compare.go
@@ -62,6 +62,7 @@
 		{"refused, a message", func(r *Result) float64 { return part(r.Tally.All.Refused, r.Tally.All.Messages) }},
 		{"failed, a message", func(r *Result) float64 { return part(r.Tally.All.Failed, r.Tally.All.Messages) }},
 		{"tries, a message", func(r *Result) float64 { return part(r.Tally.Tries, r.Tally.All.Messages) }},
+		{"new connections, a message", func(r *Result) float64 { return part(r.Tally.Opened, r.Tally.All.Messages) }},
 		{"calls above limits, a message", func(r *Result) float64 { return part(r.Tally.Above, r.Tally.All.Messages) }},
 		{"median time to delivery, s", func(r *Result) float64 { return r.Tally.Delivery.P50.Seconds() }},
 		{"99th percentile of it, s", func(r *Result) float64 { return r.Tally.Delivery.P99.Seconds() }},
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -80,10 +80,10 @@
 		}
 		b.WriteString("![ends of calls by second](calls.svg)\n\n")
 	}
-	b.WriteString("| partner | calls | messages | accepted | above its limit | other refusals | given up | errors |\n|" + strings.Repeat(" --- |", 8) + "\n")
+	b.WriteString("| partner | connections | calls | messages | accepted | above its limit | other refusals | given up | errors |\n|" + strings.Repeat(" --- |", 9) + "\n")
 	for _, p := range res.Tally.Partners {
 		e := p.Ends
-		fmt.Fprintf(&b, "| %d | %d | %d | %d | %d | %d | %d | %d |\n", p.Partner, p.Calls, p.Messages, e[history.Accepted], e[history.Above],
+		fmt.Fprintf(&b, "| %d | %d | %d | %d | %d | %d | %d | %d | %d |\n", p.Partner, p.Opened, p.Calls, p.Messages, e[history.Accepted], e[history.Above],
 			e[history.Turned]+e[history.Full]+e[history.Crowded], e[history.GivenUp], e[history.Errored]+e[history.AnswerCut]+e[history.Spoilt])
 	}
 	b.WriteString("\n## Processes\n\n| node | starts | CPU | most memory, MB | most descriptors | most disk, KB |\n|" + strings.Repeat(" --- |", 6) + "\n")
--- a/internal/lab/standin/partner.go
+++ b/internal/lab/standin/partner.go
@@ -127,6 +127,7 @@
 	s := &served{Conn: there, pair: pair, node: node, number: numbers.Add(1), endpoint: e.index}
 	p.pairs[s.number] = s
 	p.step(partner.Opened{Conn: s.number, Endpoint: e.index})
+	p.log.Add(history.Event{Kind: history.Opened, Node: node, Partner: p.number, Endpoint: e.ID})
 	p.mu.Unlock()
 	if !e.ln.give(ctx, s) {
 		p.closeConn(s)
