--- /dev/null
+++ b/fleet/experiment/check.go
@@ -0,0 +1,276 @@
+package experiment
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+
+	"starlingusher/fleet/partner"
+)
+
+// Error is what is wrong with an experiment, and where.
+type Error struct {
+	Line int // 0: not known
+	Text string
+}
+
+func (e *Error) Error() string {
+	if e.Line == 0 {
+		return e.Text
+	}
+	return fmt.Sprintf("line %d: %s", e.Line, e.Text)
+}
+
+func decodeError(err error) error {
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) {
+		var all []error
+		for _, e := range strict.Errors {
+			row, _ := e.Position()
+			all = append(all, &Error{row, fmt.Sprintf("the name %q is not known here; see `cottonrack lab kinds` and the page on experiments",
+				strings.Join(e.Key(), "."))})
+		}
+		return errors.Join(all...)
+	}
+	var decode *toml.DecodeError
+	if errors.As(err, &decode) {
+		row, _ := decode.Position()
+		return &Error{row, strings.TrimPrefix(decode.Error(), "toml: ")}
+	}
+	return &Error{0, err.Error()}
+}
+
+// lines finds the line of each key, by names like "fault[1].kind"; a table has the line of its head.
+func lines(text []byte) map[string]int {
+	where := map[string]int{}
+	count := map[string]int{}
+	at := func(n *unstable.Node, p *unstable.Parser) (string, int) {
+		var parts []string
+		line := 0
+		for it := n.Key(); it.Next(); {
+			k := it.Node()
+			parts = append(parts, string(k.Data))
+			if line == 0 {
+				line = p.Shape(k.Raw).Start.Line
+			}
+		}
+		return strings.Join(parts, "."), line
+	}
+	var p unstable.Parser
+	p.Reset(text)
+	table := ""
+	for p.NextExpression() {
+		e := p.Expression()
+		name, line := at(e, &p)
+		switch e.Kind {
+		case unstable.Table:
+			table = name
+		case unstable.ArrayTable:
+			table = fmt.Sprintf("%s[%d]", name, count[name])
+			count[name]++
+		case unstable.KeyValue:
+			if table != "" {
+				name = table + "." + name
+			}
+			where[name] = line
+			continue
+		}
+		where[table] = line
+	}
+	return where
+}
+
+// check looks at what the form alone does not tell.
+func (f *File) check(where map[string]int) error {
+	var found []error
+	bad := func(key, text string, args ...any) {
+		line := where[key]
+		for line == 0 && strings.Contains(key, ".") { // the table that it is missing from
+			key = key[:strings.LastIndex(key, ".")]
+			line = where[key]
+		}
+		found = append(found, &Error{line, fmt.Sprintf(text, args...)})
+	}
+	number := func(key string, n Number, low, high float64) {
+		if !n.within(low, high) {
+			bad(key, "%s is from %v to %v", key[strings.LastIndex(key, ".")+1:], low, high)
+		}
+	}
+	if f.Name == "" {
+		bad("name", "the experiment has no name: give it one")
+	}
+	if f.Length.Low < time.Second || f.Length.High > time.Hour {
+		bad("length", "length is from 1s to 1h")
+	}
+	number("fleet.nodes", f.Fleet.Nodes, 1, 5000)
+	number("fleet.uneven", f.Fleet.Uneven, 0, 3)
+	number("fleet.slots_room", f.Fleet.SlotsRoom, 0.1, 100)
+	number("fleet.least_slots", f.Fleet.LeastSlot, 1, 10000)
+	number("fleet.least_open", f.Fleet.LeastOpen, 1, 1e6)
+	number("fleet.cores", f.Fleet.Cores, 0.05, 64)
+	number("fleet.memory_mb", f.Fleet.MemoryMB, 16, 1<<20)
+	number("fleet.sockets", f.Fleet.Sockets, 64, 1<<20)
+	number("fleet.disk_mb", f.Fleet.DiskMB, 0.1, 1<<20)
+	number("load.rate", f.Load.Rate, 0.01, 1e6)
+	number("load.clumps", f.Load.Clumps, 0, 0.9)
+	number("load.retries", f.Load.Retries, 0, 20)
+	number("load.honour", f.Load.Honour, 0, 1)
+	number("load.rude", f.Load.Rude, 0, 100)
+	number("load.body", f.Load.Body, 0, 60000)
+	number("network.jitter", f.Network.Jitter, 0, 1)
+	number("rules.max_attempts", f.Rules.MaxAttempts, 1, 100)
+	number("rules.fall_multiple", f.Rules.FallMultiple, 1, 100)
+	number("rules.cold_from", f.Rules.ColdFrom, 0.01, 1)
+	if len(f.Fleet.Zones) == 0 {
+		bad("fleet.zones", "a fleet has a zone at least")
+	}
+	kinds := map[string]bool{}
+	if len(f.Partners) == 0 {
+		bad("partner", "no [[partner]] is given: messages have nowhere to go")
+	}
+	for i, p := range f.Partners {
+		key := func(name string) string { return fmt.Sprintf("partner[%d].%s", i, name) }
+		kinds[p.Kind] = true
+		if p.Kind == "" {
+			bad(key("kind"), "the partner has no kind: give it a name")
+		}
+		number(key("count"), p.Count, 1, 10000)
+		number(key("traffic"), p.Traffic, 0, 1e6)
+		number(key("uneven"), p.Uneven, 0, 3)
+		number(key("endpoints"), p.Endpoints, 1, 64)
+		number(key("batch"), p.Batch, 1, 100)
+		number(key("spread"), p.Spread, 0, 10)
+		number(key("item_cost"), p.ItemCost, 0, 1)
+		number(key("spare"), p.Spare, 0.1, 100)
+		number(key("connections"), p.Conns, 0, 1000)
+		number(key("headroom"), p.Headroom, 0.01, 1000)
+		number(key("least_rate"), p.LeastRate, 0, 1e6)
+		for _, share := range []struct {
+			name string
+			v    Number
+		}{{"tells_wait", p.TellsWait}, {"faults", p.Faults}, {"defers", p.Defers}, {"lost", p.Lost}, {"spoilt", p.Spoilt}} {
+			number(key(share.name), share.v, 0, 1)
+		}
+		if p.Pace.Low < time.Millisecond {
+			bad(key("pace"), "pace is 1ms at least")
+		}
+		if !slices.Contains([]string{"rate", "count", "none"}, p.Limit) {
+			bad(key("limit"), "limit is \"rate\", \"count\" or \"none\", not %q", p.Limit)
+		}
+		if p.Limit == "count" && p.LimitSpan.Low < 10*time.Millisecond {
+			bad(key("limit_span"), "limit_span is 10ms at least")
+		}
+	}
+	if len(f.Classes) == 0 {
+		bad("class", "no [[class]] is given")
+	}
+	names := map[string]bool{}
+	for i, c := range f.Classes {
+		key := func(name string) string { return fmt.Sprintf("class[%d].%s", i, name) }
+		if c.Name == "" || names[c.Name] {
+			bad(key("name"), "the class has no name, or that of another one")
+		}
+		names[c.Name] = true
+		number(key("share"), c.Share, 0, 1e6)
+		number(key("worth"), c.Worth, 0, 1e6)
+		number(key("late_worth"), c.LateWorth, 0, 1)
+		if c.Aim.Low <= 0 || c.Deadline.Low < c.Aim.High {
+			bad(key("deadline"), "the class needs an aim over 0s and a deadline that is not before it")
+		}
+		if !slices.Contains([]string{"safe", "keyed", "unsafe"}, c.Effect) {
+			bad(key("effect"), "effect is \"safe\", \"keyed\" or \"unsafe\", not %q", c.Effect)
+		}
+		if c.Effect == "keyed" && c.Window.Low <= 0 {
+			bad(key("window"), "a keyed class needs a window over 0s")
+		}
+		for _, k := range c.Kinds {
+			if !kinds[k] {
+				bad(key("kinds"), "no [[partner]] is of kind %q", k)
+			}
+		}
+	}
+	if len(f.Members) == 0 {
+		f.Members = []Member{{Name: "all", Share: fixed(1)}}
+	}
+	for i, m := range f.Members {
+		if m.Name == "" {
+			bad(fmt.Sprintf("member[%d].name", i), "the member has no name")
+		}
+		number(fmt.Sprintf("member[%d].share", i), m.Share, 0, 1e6)
+	}
+	for i, x := range f.Faults {
+		f.checkFault(x, func(name, text string, args ...any) { bad(fmt.Sprintf("fault[%d].%s", i, name), text, args...) })
+	}
+	for c := range f.Expect.Class {
+		if !names[c] {
+			bad("expect.class", "no [[class]] is named %q", c)
+		}
+	}
+	return errors.Join(found...)
+}
+
+func (f *File) checkFault(x Fault, bad func(name, text string, args ...any)) {
+	aim, known := targets[x.Kind]
+	if !known {
+		bad("kind", "no fault is of kind %q: `cottonrack lab kinds` lists them", x.Kind)
+		return
+	}
+	if x.At.High > f.Length.Low {
+		bad("at", "the fault may begin at %v, after the last message (%v)", x.At.High, f.Length.Low)
+	}
+	if aim&atPartners == 0 && (x.Partners != nil || x.Part != nil) {
+		bad("partners", "a fault of kind %q is not aimed at partners", x.Kind)
+	}
+	if aim&atNodes == 0 && (x.Nodes != nil || x.Share != nil || x.Zone != "") {
+		bad("nodes", "a fault of kind %q is not aimed at nodes", x.Kind)
+	}
+	if x.Zone != "" && !slices.Contains(f.Fleet.Zones, x.Zone) {
+		bad("zone", "the fleet has no zone %q", x.Zone)
+	}
+	if x.Part != nil && !x.Part.within(0, 1) || x.Share != nil && !x.Share.within(0, 1) {
+		bad("part", "part and share are from 0 to 1")
+	}
+	least := 0
+	for _, p := range f.Partners {
+		least += int(p.Count.Low + 0.5)
+	}
+	for _, p := range x.Partners {
+		if p < 0 || p >= least {
+			bad("partners", "there is no partner %d on every seed: they are numbered from 0, and may be as few as %d", p, least)
+		}
+	}
+	for _, n := range x.Nodes {
+		if n < 0 || n >= int(f.Fleet.Nodes.Low+0.5) {
+			bad("nodes", "there is no node %d on every seed: they are numbered from 0", n)
+		}
+	}
+	low, high := 0.0, 1e6
+	switch x.Kind {
+	case "lossy", "failing", "silent", "swallow", "loss", "limit":
+		high = 1
+	case "slow", "burst":
+		low = 1
+	case "rate":
+		low = 1
+	}
+	if x.Size != (Number{}) && !x.Size.within(low, high) {
+		bad("size", "size is from %v to %v for a fault of kind %q", low, high, x.Kind)
+	}
+	if x.Size == (Number{}) && slices.Contains([]string{"slow", "burst", "rate", "delay", "late-list", "loss", "limit"}, x.Kind) {
+		bad("size", "a fault of kind %q needs a size", x.Kind)
+	}
+	if !slices.Contains([]string{"", "both", "out", "back"}, x.Way) {
+		bad("way", "way is \"both\", \"out\" or \"back\", not %q", x.Way)
+	}
+	if !slices.Contains([]string{"", "reset", "resume"}, x.Then) {
+		bad("then", "then is \"reset\" or \"resume\", not %q", x.Then)
+	}
+	if _, isTrouble := partner.ParseTrouble(x.Kind); x.For.Low == 0 && !isTrouble && !slices.Contains([]string{"reset", "move", "replace", "restart"}, x.Kind) {
+		bad("for", "a fault of kind %q needs to say how long it lasts", x.Kind)
+	}
+}
