--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -156,6 +156,7 @@
 	p.X.Label.Text, p.Y.Label.Text = "seconds", "calls a second"
 	p.Y.Min = 0
 	p.Legend.Top = true
+	p.Legend.XOffs = -5 * vg.Millimeter
 	states := sortedKeys(bySecond)
 	slices.SortStableFunc(states, func(a, b string) int { return cmp.Compare(total(bySecond[b]), total(bySecond[a])) })
 	var all []any
@@ -163,6 +164,7 @@
 		var points plotter.XYs
 		for i := range last + 1 {
 			points = append(points, plotter.XY{X: float64(i), Y: float64(bySecond[s][i])})
+			p.Y.Max = max(p.Y.Max, 1.5*float64(bySecond[s][i])) // with room for the legend
 		}
 		all = append(all, strings.ReplaceAll(s, "_", " "), points)
 	}
