Read an answer that lies unread before a call that is called off is given up, too

A call's Cancel closed its connection at once, whatever had come. The module decides on what was read, so an answer that came since is lost, and a message that may be repeated goes out again after it was delivered. The test lets an answer come and calls the call off, and fails without the change (undone).

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -100,7 +100,7 @@
 	limit   *io.LimitedReader
 	br      *bufio.Reader
 	watched chan error  // the idle watch's end
-	timeUp  atomic.Bool // of its call
+	givenUp atomic.Bool // its call is
 }
 
 func newPool(dialTimeout, connIdle time.Duration, maxIdle int) *pool {
@@ -149,7 +149,7 @@
 		p.give(c.endpoint, k)
 		return result{outcome: choice.Stale}
 	}
-	stop := context.AfterFunc(ctx, func() { k.giveUp(ctx) })
+	stop := context.AfterFunc(ctx, k.giveUp)
 	res, reuse := k.exchange(ctx, request, c)
 	res.kept = kept
 	if stop() && reuse {
@@ -218,11 +218,11 @@
 	return k
 }
 
-// Read looks a last time when the call's time is up: a deadline that passed while the process did not run says nothing
-// of an answer that has come meanwhile.
+// Read looks a last time when the call is given up. A deadline that passed while the process did not run says nothing of
+// an answer that has come meanwhile, and neither does a decision of the module, which knows of what was read alone.
 func (k *conn) Read(p []byte) (int, error) {
 	n, err := k.Conn.Read(p)
-	for look := 0; look < lastLooks && n == 0 && k.timeUp.Load() && errors.Is(err, os.ErrDeadlineExceeded); look++ {
+	for look := 0; look < lastLooks && n == 0 && k.givenUp.Load() && errors.Is(err, os.ErrDeadlineExceeded); look++ {
 		if lerr := k.SetReadDeadline(time.Now().Add(lookTime)); lerr != nil {
 			break
 		}
@@ -231,14 +231,9 @@
 	return n, err
 }
 
-// giveUp ends a call whose context has ended. One that is called off is cut, one whose time is up may still have an
-// answer that nobody has read.
-func (k *conn) giveUp(ctx context.Context) {
-	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		k.Close()
-		return
-	}
-	k.timeUp.Store(true)
+// giveUp ends a call whose time is up, or that is called off: nothing more is waited for.
+func (k *conn) giveUp() {
+	k.givenUp.Store(true)
 	k.SetDeadline(time.Unix(1, 0))
 }
 
@@ -275,7 +270,7 @@
 		if err := k.SetReadDeadline(time.Now().Add(answerTimeout)); err != nil {
 			return result{}, false, fmt.Errorf("answer: %w", err)
 		}
-		if k.timeUp.Load() { // what has come is read, and nothing is waited for
+		if k.givenUp.Load() { // what has come is read, and nothing is waited for
 			k.SetReadDeadline(time.Unix(1, 0))
 		}
 		code, err := k.status()
--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -560,9 +560,17 @@
 	return s.Conn.Close()
 }
 
-// An answer that came while the process did not run is read, though the call's time is up by then.
-func TestAnswerThatCameWhileStopped(t *testing.T) {
+// An answer that has come and was not read yet is read before a call is given up, be it that its time ran out while the
+// process did not run, or that the module calls it off.
+func TestAnswerThatLiesUnread(t *testing.T) {
+	t.Run("time up", func(t *testing.T) { testUnread(t, false) })
+	t.Run("called off", func(t *testing.T) { testUnread(t, true) })
+}
+
+func testUnread(t *testing.T, calledOff bool) {
 	came := make(chan struct{})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
 	partner := newPartner(t, says(delivered))
 	p := testPool()
 	dial := p.dialer
@@ -585,8 +593,15 @@
 		return &stopped{Conn: nc, came: came, wake: make(chan struct{})}, nil
 	}
 	c := testCall(endpointAt(partner.addr()))
-	c.notPast = time.Now().Add(200 * time.Millisecond)
-	if got := p.do(t.Context(), c); got.outcome != choice.Pass {
+	if calledOff {
+		go func() { // once it is out
+			<-came
+			cancel()
+		}()
+	} else {
+		c.notPast = time.Now().Add(200 * time.Millisecond)
+	}
+	if got := p.do(ctx, c); got.outcome != choice.Pass {
 		t.Errorf("got %+v", got)
 	}
 }
