Clients: what a lost node held comes again by what partners have seen by then

The clients asked whether a partner had seen it at the loss, not when it came again. It is the lab's fault, not the nodes'.

--- a/internal/lab/standin/clients.go
+++ b/internal/lab/standin/clients.go
@@ -185,14 +185,18 @@
 		s.taken = false
 		class := c.plan.Classes[c.plan.Arrivals[n-1].Class]
 		wait := c.draw(c.plan.Load.Again)
-		if s.touched && (class.Effect == judge.Unsafe || class.Effect == judge.Keyed && c.log.Now()+wait-s.first > class.Window/2) {
-			s.over = true
-			continue
-		}
 		c.wg.Go(func() {
 			if !sleepUntil(ctx, time.Now().Add(wait)) {
 				return
 			}
+			// Not before: a call may still have been on its way when its node was lost.
+			c.mu.Lock()
+			s.over = s.touched && (class.Effect == judge.Unsafe || class.Effect == judge.Keyed && c.log.Now()-s.first > class.Window/2)
+			over := s.over
+			c.mu.Unlock()
+			if over {
+				return
+			}
 			for i := range c.plan.Nodes {
 				if to := (node + 1 + i) % len(c.plan.Nodes); c.alive(to) {
 					c.handIn(ctx, n, to, true)
