--- a/internal/lab/relay/relay_test.go
+++ b/internal/lab/relay/relay_test.go
@@ -276,6 +276,70 @@
 	}
 }
 
+// An end that leaves an answer unread is told from one after it was read.
+func TestEndWithTheAnswerUnread(t *testing.T) {
+	for _, reads := range []bool{true, false} {
+		pairs := make(chan *Pair, 1)
+		l, err := Listen("127.0.0.1:0", 1, func(_ context.Context, p *Pair) (net.Conn, error) {
+			here, there := p.Pipe()
+			go func() {
+				bufio.NewReader(there).ReadString('\n')
+				io.WriteString(there, "answer\n")
+				pairs <- p
+			}()
+			return here, nil
+		}, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		nc := dial(t, l.Addr())
+		io.WriteString(nc, "call\n")
+		if reads {
+			hears(t, nc, "answer")
+		} else {
+			raw, err := nc.(*net.TCPConn).SyscallConn()
+			if err != nil {
+				t.Fatal(err)
+			}
+			raw.Read(func(fd uintptr) bool { // until it lies there
+				n, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+				return n > 0 || err != syscall.EAGAIN
+			})
+		}
+		p := <-pairs
+		nc.Close()
+		for by := time.Now().Add(patience); p.NearEnded().IsZero(); time.Sleep(time.Millisecond) {
+			if time.Now().After(by) {
+				t.Fatal("its end was not seen")
+			}
+		}
+		l.Close() // and its goroutines with it
+		if got := p.nearReset.IsZero(); got != reads {
+			t.Errorf("read: %v, ended without reading: %v", reads, !got)
+		}
+	}
+}
+
+// Such an end within the slack after the answer was written has crossed it; a later one has not.
+func TestSettle(t *testing.T) {
+	at := time.Now()
+	for name, c := range map[string]struct {
+		reset   time.Time
+		reached bool
+	}{
+		"no reset":   {time.Time{}, true},
+		"just after": {at.Add(crossSlack / 2), false},
+		"later":      {at.Add(2 * crossSlack), true},
+	} {
+		p := &Pair{nearReset: c.reset}
+		p.settle(waiter{tell: func(_ time.Time, reached bool) {
+			if reached != c.reached {
+				t.Errorf("%s: reached %v", name, reached)
+			}
+		}}, at)
+	}
+}
+
 // A call is told apart from the one before it on its connection, and its answer's arrival is seen.
 func TestPairWatchesCalls(t *testing.T) {
 	reached := make(chan time.Time, 1)
