Lab: one wait, one count of starts, defaults by the form's own names, no dead state

Read over once more. sleepUntil stood twice (internal/lab, standin); starts were counted twice; mergePartner named 18 fields of a partner by hand, where a new one would have been forgotten; the judge walked the events again for each message's answer, which it had read already; spells kept a beginning that nobody asked for; a copy of maps.Keys, and two parameters that told nothing new.

--- a/cmd/cottonrack/lab.go
+++ b/cmd/cottonrack/lab.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"os/exec"
@@ -275,22 +276,12 @@
 		return printJSON(a.out, experiment.FaultKinds)
 	}
 	t := tabwriter.NewWriter(a.out, 2, 0, 2, ' ', 0)
-	for _, k := range slices.Sorted(keys(experiment.FaultKinds)) {
+	for _, k := range slices.Sorted(maps.Keys(experiment.FaultKinds)) {
 		fmt.Fprintf(t, "%s\t%s\n", k, experiment.FaultKinds[k])
 	}
 	return t.Flush()
 }
 
-func keys[V any](m map[string]V) func(func(string) bool) {
-	return func(yield func(string) bool) {
-		for k := range m {
-			if !yield(k) {
-				return
-			}
-		}
-	}
-}
-
 type labReportCmd struct {
 	Dir string `arg:"" help:"The folder that run wrote with --out."`
 }
--- a/fleet/experiment/file.go
+++ b/fleet/experiment/file.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"fmt"
+	"reflect"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
@@ -208,48 +209,19 @@
 	}
 	where := lines(text)
 	for i := range f.Partners { // what the group leaves out has the defaults
-		d := partnerDefaults()
-		mergePartner(&d, f.Partners[i], where, i)
-		f.Partners[i] = d
+		f.Partners[i] = withDefaults(f.Partners[i], func(name string) bool { return where[fmt.Sprintf("partner[%d].%s", i, name)] > 0 })
 	}
 	return f, f.check(where)
 }
 
-// mergePartner takes over what the file gives, and leaves the defaults elsewhere.
-func mergePartner(d *Partner, given Partner, where map[string]int, i int) {
-	has := func(name string) bool { return where[fmt.Sprintf("partner[%d].%s", i, name)] > 0 }
-	set := func(name string, to *Number, v Number) {
-		if has(name) {
-			*to = v
+// withDefaults is a partner as it is given, with the defaults for what the file does not name.
+func withDefaults(given Partner, named func(name string) bool) Partner {
+	p := partnerDefaults()
+	from, to := reflect.ValueOf(given), reflect.ValueOf(&p).Elem()
+	for i := range from.NumField() {
+		if named(from.Type().Field(i).Tag.Get("toml")) {
+			to.Field(i).Set(from.Field(i))
 		}
 	}
-	span := func(name string, to *Span, v Span) {
-		if has(name) {
-			*to = v
-		}
-	}
-	d.Kind, d.CountsRefused = given.Kind, given.CountsRefused
-	if has("limit") {
-		d.Limit = given.Limit
-	}
-	set("count", &d.Count, given.Count)
-	set("traffic", &d.Traffic, given.Traffic)
-	set("uneven", &d.Uneven, given.Uneven)
-	set("endpoints", &d.Endpoints, given.Endpoints)
-	set("batch", &d.Batch, given.Batch)
-	set("spread", &d.Spread, given.Spread)
-	set("item_cost", &d.ItemCost, given.ItemCost)
-	set("spare", &d.Spare, given.Spare)
-	set("connections", &d.Conns, given.Conns)
-	set("headroom", &d.Headroom, given.Headroom)
-	set("least_rate", &d.LeastRate, given.LeastRate)
-	set("tells_wait", &d.TellsWait, given.TellsWait)
-	set("faults", &d.Faults, given.Faults)
-	set("defers", &d.Defers, given.Defers)
-	set("lost", &d.Lost, given.Lost)
-	set("spoilt", &d.Spoilt, given.Spoilt)
-	span("pace", &d.Pace, given.Pace)
-	span("queue", &d.Queue, given.Queue)
-	span("limit_span", &d.LimitSpan, given.LimitSpan)
-	span("wait", &d.Wait, given.Wait)
+	return p
 }
--- a/fleet/judge/judge.go
+++ b/fleet/judge/judge.go
@@ -125,13 +125,15 @@
 }
 
 type message struct {
-	in      history.Event
-	taken   *history.Event
-	calls   []*call
-	notices []history.Event
-	ran     []history.Event
+	in       history.Event
+	answered *history.Event // by the node; nil: not seen
+	calls    []*call
+	notices  []history.Event
+	ran      []history.Event
 }
 
+func (m *message) taken() bool { return m.answered != nil && m.answered.State == history.Taken }
+
 // span is a stretch of time in which nothing is asked of a node.
 type span struct{ from, to time.Duration }
 
@@ -200,8 +202,8 @@
 			}
 			j.messages[e.ID] = &message{in: e}
 		case history.Answered:
-			if m := j.messages[e.ID]; m != nil && e.State == history.Taken {
-				m.taken = &e
+			if m := j.messages[e.ID]; m != nil {
+				m.answered = &e
 			}
 		case history.CallBegan:
 			for _, id := range e.IDs {
@@ -313,13 +315,13 @@
 }
 
 func (j *judge) oneEnd(m *message) {
-	if m.taken == nil || j.lostSince(m.in.Node, m.in.At) {
+	if !m.taken() || j.lostSince(m.in.Node, m.in.At) {
 		return
 	}
 	// A call out at its time may end it then; the slack is for the way that the news takes.
 	due := j.excusedUntil(m.in.Node, m.in.At+m.in.Life+j.terms.EndSlack+j.terms.Slack)
 	end, ok := j.ended(m)
-	proof := []history.Event{m.in, *m.taken}
+	proof := []history.Event{m.in, *m.answered}
 	switch {
 	case !ok && due < j.end:
 		j.breach(OneEnd, m.in.Node, m.in.ID, due, append(proof, callEvents(m)...), "it was taken and never had its end")
@@ -349,7 +351,7 @@
 
 func (j *judge) over(m *message) {
 	end, ok := j.ended(m)
-	if !ok || m.taken == nil {
+	if !ok || !m.taken() {
 		return
 	}
 	for _, c := range m.calls {
@@ -459,21 +461,11 @@
 }
 
 func (j *judge) answer(m *message) {
-	for _, e := range j.events[j.after(m.in.At):] {
-		if e.Kind != history.Answered || e.ID != m.in.ID {
-			continue
-		}
-		if e.State == history.Broken && j.excusedUntil(m.in.Node, e.At) == e.At && j.excusedUntil(m.in.Node, m.in.At) == m.in.At {
-			j.breach(Answer, m.in.Node, m.in.ID, e.At, []history.Event{m.in, e}, "the connection ended with no answer")
-		}
+	e := m.answered
+	if e == nil || e.State != history.Broken || j.excusedUntil(m.in.Node, e.At) != e.At || j.excusedUntil(m.in.Node, m.in.At) != m.in.At {
 		return
 	}
-}
-
-// after is the place of the first event that is not before a time.
-func (j *judge) after(at time.Duration) int {
-	i, _ := slices.BinarySearchFunc(j.events, at, func(e history.Event, at time.Duration) int { return cmp.Compare(e.At, at) })
-	return i
+	j.breach(Answer, m.in.Node, m.in.ID, e.At, []history.Event{m.in, *e}, "the connection ended with no answer")
 }
 
 func (j *judge) foreign() {
--- a/fleet/partner/partner.go
+++ b/fleet/partner/partner.go
@@ -215,16 +215,11 @@
 func (Restored) action() {}
 func (Fell) action()     {}
 
-type spell struct {
-	Troubled
-	began time.Duration
-}
-
 type endpoint struct {
 	conns    int
 	busy     int
 	waiting  []uint64 // calls, oldest first
-	spells   []spell
+	spells   []Troubled
 	out      bool          // in an outage
 	cold     bool          // has returned from one,
 	returned time.Duration // then
@@ -335,7 +330,7 @@
 			delete(p.conns, ev.Conn)
 			p.endpoints[c.endpoint].conns--
 		}
-		acts = p.abandon(ev.Conn, acts)
+		p.abandon(ev.Conn)
 	case Called:
 		acts = p.call(ev, acts)
 	case Troubled:
@@ -360,7 +355,7 @@
 		e := &p.endpoints[i]
 		was := e.has(Down) != nil
 		n := len(e.spells)
-		e.spells = slices.DeleteFunc(e.spells, func(s spell) bool { return s.Until > 0 && s.Until <= p.now })
+		e.spells = slices.DeleteFunc(e.spells, func(s Troubled) bool { return s.Until > 0 && s.Until <= p.now })
 		if n == len(e.spells) {
 			continue
 		}
@@ -381,7 +376,7 @@
 func (p *Partner) begin(i int, t Troubled, acts []Action) []Action {
 	e := &p.endpoints[i]
 	down := e.has(Down) != nil
-	e.spells = append(e.spells, spell{t, p.now})
+	e.spells = append(e.spells, t)
 	e.out = e.out || e.inOutage()
 	if t.What == Down && !down {
 		for id, c := range p.conns {
@@ -515,7 +510,7 @@
 }
 
 // abandon forgets the calls of a connection that has ended and that wait; those being served run on.
-func (p *Partner) abandon(conn uint64, acts []Action) []Action {
+func (p *Partner) abandon(conn uint64) {
 	for id, j := range p.jobs {
 		if j.Conn == conn && !j.running {
 			delete(p.jobs, id)
@@ -523,7 +518,6 @@
 			e.waiting = slices.DeleteFunc(e.waiting, func(c uint64) bool { return c == id })
 		}
 	}
-	return acts
 }
 
 func (p *Partner) drop(id uint64, j *job) {
@@ -653,7 +647,7 @@
 func (p *Partner) chance(share float64) bool { return share > 0 && p.rand.Float64() < share }
 
 // has returns the endpoint's last spell of a kind, or nil.
-func (e *endpoint) has(t Trouble) *spell {
+func (e *endpoint) has(t Trouble) *Troubled {
 	for i := len(e.spells) - 1; i >= 0; i-- {
 		if e.spells[i].What == t {
 			return &e.spells[i]
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -38,7 +38,7 @@
 	}
 	slices.SortStableFunc(steps, func(a, b step) int { return cmp.Compare(a.at, b.at) })
 	for _, s := range steps {
-		if !sleepUntil(ctx, r.log.Wall(s.at)) {
+		if !observe.SleepUntil(ctx, r.log.Wall(s.at)) {
 			return
 		}
 		r.log.Late(observe.ByTimeline, r.log.Now()-s.at)
@@ -167,12 +167,12 @@
 			Phase: history.Draining, Size: r.plan.Partners[number].Rate(),
 		}
 		r.platform.Put(member, nil, false)
-		if !sleepUntil(ctx, time.Now().Add(drain)) {
+		if !observe.SleepUntil(ctx, time.Now().Add(drain)) {
 			return nil
 		}
 		member.Phase = history.Deleted
 		r.platform.Put(member, old.Addr, false)
-		if !sleepUntil(ctx, time.Now().Add(drain)) {
+		if !observe.SleepUntil(ctx, time.Now().Add(drain)) {
 			return nil
 		}
 		old.Retire()
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"starlingusher/fleet/history"
+	"starlingusher/internal/lab/observe"
 	"starlingusher/internal/lab/proc"
 )
 
@@ -42,7 +43,6 @@
 	full   bool // its disk
 	down   int  // faults that keep it down
 	paused bool // by SIGSTOP
-	starts int
 	use    ProcessUse
 }
 
@@ -87,7 +87,7 @@
 	agent := n.r.platform.Agent(n.number)
 	raw, err := json.Marshal(map[string]any{
 		"name": p.Name, "listen": n.r.addr(n.number, clientPort), "discovery": agent.Addr(),
-		"seed": fmt.Sprintf("%016x", p.Seed+uint64(n.starts)), "known": agent.Known(), "settings": settings,
+		"seed": fmt.Sprintf("%016x", p.Seed+uint64(n.use.Starts)), "known": agent.Known(), "settings": settings,
 		"limits": map[string]any{"cores": p.Cores, "memory_mb": p.MemoryMB, "sockets": p.Sockets, "disk_mb": p.DiskMB},
 	})
 	if err != nil {
@@ -123,7 +123,6 @@
 		return err
 	}
 	n.p, n.asked, n.ready = process, false, false
-	n.starts++
 	n.use.Starts++
 	n.event(history.Started, "", strconv.Itoa(process.PID()))
 	n.wg.Go(func() { n.follow(process) })
@@ -296,7 +295,7 @@
 	case <-ctx.Done():
 		return nil
 	}
-	if !sleepUntil(ctx, time.Now().Add(restartPause)) {
+	if !observe.SleepUntil(ctx, time.Now().Add(restartPause)) {
 		return nil
 	}
 	return n.again(ctx)
--- a/internal/lab/observe/observe.go
+++ b/internal/lab/observe/observe.go
@@ -2,6 +2,7 @@
 package observe
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -69,6 +70,22 @@
 // Wall is the time at a run's time.
 func (l *Log) Wall(d time.Duration) time.Time { return l.start.Load().Add(d) }
 
+// SleepUntil waits until a time, and tells whether the context is still alive then.
+func SleepUntil(ctx context.Context, at time.Time) bool {
+	d := time.Until(at)
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // Add keeps an event. One without a time has the present.
 func (l *Log) Add(e history.Event) {
 	if e.At == 0 {
--- a/internal/lab/proc/proc.go
+++ b/internal/lab/proc/proc.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math"
 	"os"
 	"os/exec"
 	"runtime"
@@ -208,11 +207,9 @@
 	if err := unix.Prlimit(p.PID(), unix.RLIMIT_FSIZE, nil, &old); err != nil {
 		return fmt.Errorf("disk of %s: %w", p.spec.Name, err)
 	}
-	limit := unix.Rlimit{Cur: math.MaxUint64, Max: old.Max}
+	limit := unix.Rlimit{Cur: old.Max, Max: old.Max}
 	if on {
 		limit.Cur = 0
-	} else {
-		limit.Cur = old.Max
 	}
 	if err := unix.Prlimit(p.PID(), unix.RLIMIT_FSIZE, &limit, nil); err != nil {
 		return fmt.Errorf("disk of %s: %w", p.spec.Name, err)
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -119,7 +119,7 @@
 	parts.Go(func() { r.timeline(running) })
 	parts.Go(func() { r.sample(running) })
 	parts.Go(func() { r.tell(running) })
-	ended := sleepUntil(ctx, r.log.Wall(r.plan.End()))
+	ended := observe.SleepUntil(ctx, r.log.Wall(r.plan.End()))
 	if ended {
 		r.log.Add(history.Event{Kind: history.End, Node: -1, Partner: -1})
 	}
@@ -131,17 +131,6 @@
 	return nil
 }
 
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	t := time.NewTimer(time.Until(at))
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // takeBlock finds a /16 of loopback that no other lab on this machine uses.
 func (r *run) takeBlock() error {
 	for i := range 100 {
--- a/internal/lab/standin/clients.go
+++ b/internal/lab/standin/clients.go
@@ -91,7 +91,7 @@
 	c.mu.Unlock()
 	c.wg.Go(func() { c.rudePeers(ctx) })
 	for i, a := range c.plan.Arrivals {
-		if !sleepUntil(ctx, c.log.Wall(a.At)) {
+		if !observe.SleepUntil(ctx, c.log.Wall(a.At)) {
 			break
 		}
 		c.log.Late(observe.ByClients, c.log.Now()-a.At)
@@ -113,21 +113,6 @@
 	return c.rude
 }
 
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	d := time.Until(at)
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Saw is told of the messages of a call that has reached a partner.
 func (c *Clients) Saw(ids []string) {
 	c.mu.Lock()
@@ -186,7 +171,7 @@
 		class := c.plan.Classes[c.plan.Arrivals[n-1].Class]
 		wait := c.draw(c.plan.Load.Again)
 		c.wg.Go(func() {
-			if !sleepUntil(ctx, time.Now().Add(wait)) {
+			if !observe.SleepUntil(ctx, time.Now().Add(wait)) {
 				return
 			}
 			// Not before: a call may still have been on its way when its node was lost.
@@ -227,7 +212,7 @@
 	}
 	c.mu.Unlock()
 	c.wg.Go(func() {
-		if sleepUntil(ctx, time.Now().Add(wait)) {
+		if observe.SleepUntil(ctx, time.Now().Add(wait)) {
 			c.handIn(ctx, n, node, false)
 		}
 	})
@@ -394,7 +379,7 @@
 // rudePeers come and say nothing, nonsense, too much, or half a request.
 func (c *Clients) rudePeers(ctx context.Context) {
 	for _, r := range c.plan.Rude {
-		if !sleepUntil(ctx, c.log.Wall(r.At)) {
+		if !observe.SleepUntil(ctx, c.log.Wall(r.At)) {
 			return
 		}
 		c.wg.Go(func() { c.beRude(ctx, r) })
--- a/internal/lab/standin/platform.go
+++ b/internal/lab/standin/platform.go
@@ -174,7 +174,7 @@
 			wait = time.Until(a.platform.log.Wall(due))
 			if wait <= 0 && !silent {
 				a.learn(next[:1])
-				a.tell(c.revision, c, a.platform.log.Now())
+				a.tell(c, a.platform.log.Now())
 				a.wake()
 				continue
 			}
@@ -202,16 +202,16 @@
 		if by := c.at + countsAsTold; by > now {
 			return by - now
 		}
-		a.tell(c.revision, c, c.at+countsAsTold)
+		a.tell(c, c.at+countsAsTold)
 	}
 	return time.Hour
 }
 
 // tell notes once that a change was told.
-func (a *Agent) tell(revision int64, c change, at time.Duration) {
+func (a *Agent) tell(c change, at time.Duration) {
 	a.mu.Lock()
-	before := a.told >= revision
-	a.told = max(a.told, revision)
+	before := a.told >= c.revision
+	a.told = max(a.told, c.revision)
 	a.mu.Unlock()
 	if !before {
 		a.platform.log.Add(history.Event{
