--- /dev/null
+++ b/fleet/catalog/catalog_test.go
@@ -0,0 +1,275 @@
+package catalog
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func endpoint(id string, cell int) Endpoint {
+	return Endpoint{ID: id, Addr: "10.0.0.1:80", Locality: "a", Flavor: "k", Cell: cell, Phase: Serving, Size: 1}
+}
+
+func with(e Endpoint, phase string) Endpoint { e.Phase = phase; return e }
+
+// founded is a state with so many endpoints of partner 0.
+func founded(t testing.TB, n int) *State {
+	s := New()
+	apply(t, s, Command{At: 1000, Found: &Found{}})
+	if n > 0 {
+		var all []Endpoint
+		for i := range n {
+			all = append(all, endpoint(fmt.Sprint("e", i), 0))
+		}
+		apply(t, s, Command{Write: &Write{Base: Base{Any: true}, Members: all}})
+	}
+	return s
+}
+
+type fatal interface{ Fatalf(string, ...any) }
+
+func apply(t fatal, s *State, c Command) Result {
+	r := s.Apply(c)
+	if r.Err != nil {
+		t.Fatalf("%+v: %v", c, r.Err)
+	}
+	return r
+}
+
+func refused(t *testing.T, s *State, c Command, want error) Result {
+	t.Helper()
+	before := s.Revision()
+	r := s.Apply(c)
+	if !errors.Is(r.Err, want) {
+		t.Errorf("%+v: %v, not %v", c, r.Err, want)
+	}
+	if s.Revision() != before {
+		t.Errorf("%+v was refused and made revision %d", c, s.Revision())
+	}
+	return r
+}
+
+func TestTwoWritersCannotUndoEachOther(t *testing.T) {
+	s := founded(t, 3)
+	read := Base{History: s.History(), Revision: s.Revision()}
+	drain := func(id string, b Base) Command {
+		return Command{Write: &Write{Base: b, Members: []Endpoint{with(endpoint(id, 0), Draining)}}}
+	}
+	apply(t, s, drain("e0", read))
+	apply(t, s, drain("e1", read)) // another endpoint: nothing is undone
+	refused(t, s, Command{Write: &Write{Base: read, Members: []Endpoint{endpoint("e0", 0)}}}, ErrConflict)
+	refused(t, s, Command{Write: &Write{Base: read, Whole: true, Members: []Endpoint{endpoint("e9", 0)}}}, ErrConflict)
+	refused(t, s, drain("e2", Base{Revision: 99}), ErrConflict)
+	refused(t, s, drain("e2", Base{History: 5, Revision: s.Revision()}), ErrConflict)
+	if r := apply(t, s, drain("e0", Base{Any: true})); r.Revision != 3 {
+		t.Errorf("what changes nothing made revision %d", r.Revision)
+	}
+	refused(t, s, Command{Write: &Write{Base: Base{Any: true}, Members: []Endpoint{endpoint("new", 0), {ID: "e2", Phase: "ODD"}}}}, ErrBad)
+	if _, listed := s.i.Entries["new"]; listed {
+		t.Error("half of a write was done")
+	}
+}
+
+func TestGuardHoldsBack(t *testing.T) {
+	s := founded(t, 4)
+	shrink := Command{Write: &Write{Base: Base{Any: true}, Whole: true, Guard: 0.5, Members: []Endpoint{endpoint("e0", 0)}}}
+	held := refused(t, s, shrink, ErrHeld).Held
+	if again := refused(t, s, shrink, ErrHeld); again.Held != held {
+		t.Errorf("the same list was held back anew, as %d", again.Held)
+	}
+	k := NewKeeper(0.5, time.Second, time.Minute)
+	if due, wait := k.Due(s, 0); len(due) > 0 || wait != time.Minute {
+		t.Errorf("due at once: %v, %v", due, wait)
+	}
+	due, _ := k.Due(s, time.Minute)
+	if len(due) != 1 || due[0].Confirm == nil {
+		t.Fatalf("due after a minute: %+v", due)
+	}
+	apply(t, s, due[0])
+	if len(s.Entries()) != 1 || s.Held() != nil {
+		t.Errorf("stood for long enough, and the list is %v, held %v", s.Entries(), s.Held())
+	}
+	refused(t, s, Command{Confirm: &Confirm{Number: held}}, ErrUnknown)
+	empty := Command{Write: &Write{Base: Base{Any: true}, Whole: true, Guard: 1}}
+	refused(t, s, empty, ErrHeld) // an empty list, whatever the share
+	empty.Write.Confirmed = true
+	apply(t, s, empty)
+	if len(s.Entries()) != 0 || s.Held() != nil {
+		t.Error("a confirmed list was not taken")
+	}
+}
+
+func TestLeasesLapseByShare(t *testing.T) {
+	s := founded(t, 0)
+	for i := range 6 {
+		apply(t, s, Command{Write: &Write{Base: Base{Any: true}, TTL: 1000, Members: []Endpoint{endpoint(fmt.Sprint("e", i), i/4)}}})
+	}
+	k := NewKeeper(0.5, 5*time.Second, 0)
+	k.Due(s, 0)
+	if err := k.Renew(s, "e0", 900*time.Millisecond); err != nil {
+		t.Fatal(err)
+	}
+	step := func(now time.Duration) {
+		due, _ := k.Due(s, now)
+		for _, c := range due {
+			apply(t, s, c)
+		}
+	}
+	step(999 * time.Millisecond)
+	if s.Revision() != 6 {
+		t.Fatal("a lease lapsed early")
+	}
+	step(time.Second) // e1 to e3 of partner 0 and both of partner 1 are out of time; half of each may go
+	if l := s.Since(6); len(l.Members) != 3 {
+		t.Fatalf("lapsed: %+v", l.Members)
+	}
+	if err := k.Renew(s, "e1", time.Second); !errors.Is(err, ErrUnknown) {
+		t.Errorf("a lapsed lease was renewed: %v", err)
+	}
+	for now := time.Second; now < 30*time.Second; now += 500 * time.Millisecond {
+		if err := k.Renew(s, "e0", now); err != nil {
+			t.Fatal(err)
+		}
+		step(now)
+	}
+	left := map[int]int{}
+	for _, e := range s.Entries() {
+		left[e.Cell]++
+	}
+	if left[0] != 1 || left[1] != 2 { // nobody of partner 1 renews, so more likely nobody can
+		t.Errorf("left: %v", left)
+	}
+	// Coming back ends a lapse, but not what an operator wants.
+	apply(t, s, Command{Write: &Write{Base: Base{Any: true}, TTL: 1000, Members: []Endpoint{endpoint("e4", 1)}}})
+	apply(t, s, Command{Write: &Write{Base: Base{Any: true}, Members: []Endpoint{with(endpoint("e5", 1), Draining)}}})
+	apply(t, s, Command{Write: &Write{Base: Base{Any: true}, TTL: 1000, Members: []Endpoint{endpoint("e5", 1)}}})
+	if a, b := s.i.Entries["e4"], s.i.Entries["e5"]; a.Phase != Serving || a.Lapsed || b.Phase != Draining || b.TTL != 1000 {
+		t.Errorf("after coming back: %+v, %+v", a, b)
+	}
+}
+
+func TestRecordsAreFenced(t *testing.T) {
+	s := founded(t, 0)
+	a := apply(t, s, Command{Acquire: &Hold{Name: "r", Holder: "a", TTL: 1000, Value: []byte("1"), SetsVal: true}}).Token
+	refused(t, s, Command{Acquire: &Hold{Name: "r", Holder: "b", TTL: 1000}}, ErrTaken)
+	k := NewKeeper(0.5, 0, 0)
+	k.Due(s, 0)
+	due, _ := k.Due(s, time.Second)
+	if len(due) != 1 {
+		t.Fatalf("due: %v", due)
+	}
+	if err := k.RenewRecord(s, "r", a, time.Second); err != nil { // renewed while its end is on its way
+		t.Fatal(err)
+	}
+	apply(t, s, due[0])
+	b := apply(t, s, Command{Acquire: &Hold{Name: "r", Holder: "b"}}).Token
+	if b <= a {
+		t.Errorf("token %d after %d", b, a)
+	}
+	refused(t, s, Command{Update: &Hold{Name: "r", Token: a, Value: []byte("late")}}, ErrTaken)
+	image := s.Image()
+	apply(t, s, Command{Update: &Hold{Name: "r", Token: b, Value: []byte("2")}})
+	apply(t, s, Command{At: 1, Restore: &image})
+	c := apply(t, s, Command{Release: &Hold{Name: "r", Token: b}})
+	_ = c
+	if d := apply(t, s, Command{Acquire: &Hold{Name: "r", Holder: "d"}}).Token; d <= b {
+		t.Errorf("a token came again after a restore: %d after %d", d, b)
+	}
+}
+
+func TestRestoreBeginsANewHistory(t *testing.T) {
+	s := founded(t, 2)
+	image, was := s.Image(), s.History()
+	apply(t, s, Command{Write: &Write{Base: Base{Any: true}, Members: []Endpoint{with(endpoint("e0", 0), Deleted)}}})
+	apply(t, s, Command{At: 5, Restore: &image})
+	if s.History() <= was || s.Revision() != 1 || len(s.Entries()) != 2 {
+		t.Errorf("history %d after %d, revision %d", s.History(), was, s.Revision())
+	}
+	refused(t, s, Command{Write: &Write{Base: Base{History: was, Revision: 1}, Members: []Endpoint{endpoint("e1", 0)}}}, ErrConflict)
+	image.Revision = 7
+	refused(t, s, Command{Restore: &image}, ErrBad)
+}
+
+// Whatever is written: replicas agree, also over a snapshot; a follower that takes every change has the list; who
+// resumes anywhere gets there too.
+func TestEveryWayLeadsToTheSameList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := New(), New()
+		follower := map[string]Endpoint{}
+		take := func(l List) {
+			if l.Complete {
+				clear(follower)
+			}
+			for _, m := range l.Members {
+				if follower[m.ID] = m; m.Phase == Deleted {
+					delete(follower, m.ID)
+				}
+			}
+		}
+		apply(t, a, Command{At: 1, Found: &Found{}})
+		apply(t, b, Command{At: 1, Found: &Found{}})
+		at := int64(0)
+		for range rapid.IntRange(1, 40).Draw(t, "writes") {
+			w := Write{Base: Base{Revision: max(a.Revision()-rapid.Int64Range(0, 3).Draw(t, "behind"), 0)}, Whole: rapid.IntRange(0, 5).Draw(t, "whole") == 0}
+			for _, i := range rapid.SliceOfNDistinct(rapid.IntRange(0, 7), 0, 4, rapid.ID[int]).Draw(t, "ids") {
+				e := endpoint(fmt.Sprint("e", i), i%2)
+				e.Phase = rapid.SampledFrom([]string{Serving, Draining, Deleted}).Draw(t, "phase")
+				w.Members = append(w.Members, e)
+			}
+			w.Guard = rapid.SampledFrom([]float64{0, 0.5}).Draw(t, "guard")
+			w.TTL = rapid.SampledFrom([]int64{0, 1000}).Draw(t, "ttl")
+			before := a.Revision()
+			ra, rb := a.Apply(Command{Write: &w}), b.Apply(Command{Write: &w})
+			if ra.Revision != rb.Revision || !errors.Is(rb.Err, errors.Unwrap(ra.Err)) {
+				t.Fatalf("replicas differ: %+v, %+v", ra, rb)
+			}
+			if a.Revision() > before+1 || ra.Err != nil && a.Revision() != before {
+				t.Fatalf("revision %d after %d: %v", a.Revision(), before, ra.Err)
+			}
+			if rapid.Bool().Draw(t, "snapshot") {
+				next, err := Load(b.Image())
+				if err != nil {
+					t.Fatal(err)
+				}
+				b = next
+			}
+			if rapid.Bool().Draw(t, "follows") {
+				take(a.Since(at))
+				at = a.Revision()
+			}
+		}
+		take(a.Since(at))
+		whole := map[string]Endpoint{}
+		for _, m := range a.Whole().Members {
+			whole[m.ID] = m
+		}
+		if !reflect.DeepEqual(whole, follower) || !reflect.DeepEqual(a.Image(), b.Image()) {
+			t.Fatalf("the list is %v, the follower's %v", whole, follower)
+		}
+	})
+}
+
+func TestHistoryIsBounded(t *testing.T) {
+	s := founded(t, 1)
+	for i := range MaxChanges + 10 {
+		phase := Serving
+		if i%2 == 0 {
+			phase = Draining
+		}
+		apply(t, s, Command{Write: &Write{Base: Base{Any: true}, Members: []Endpoint{with(endpoint("e0", 0), phase)}}})
+	}
+	if changes, all := s.Changes(0); all || len(changes) != MaxChanges {
+		t.Errorf("%d changes are kept, all: %v", len(changes), all)
+	}
+	if l := s.Since(3); !l.Complete {
+		t.Error("behind what is kept there is more than the whole list")
+	}
+	refused(t, s, Command{Write: &Write{Base: Base{Revision: 3}, Members: []Endpoint{endpoint("x", 0)}}}, ErrConflict)
+	if l := s.Since(s.Revision() - 3); l.Complete || len(l.Members) != 1 {
+		t.Errorf("resumed: %+v", l)
+	}
+}
