Registry: the client of a list service; the node's discovery moves onto it

The node had its own copy of following a list. internal/registry is the one client for all: several addresses, silence noticed, pauses that differ, no way back in revisions, a new history recognised, the last list kept. ROUTER_FLEET turns several addresses and the kept list on; without it the node asks as before.

--- a/cmd/coralyard/main.go
+++ b/cmd/coralyard/main.go
@@ -65,7 +65,8 @@
 	if addr := os.Getenv("ROUTER_ADMIN_ADDR"); addr != "" {
 		cfg.AdminAddr = addr
 	}
-	return cfg, nil
+	cfg.Fleet, err = node.LoadFleet(os.Getenv("ROUTER_FLEET"))
+	return cfg, err
 }
 
 // serve is one life of the node in this process: from when it is this process's own until it is not any more.
@@ -97,6 +98,6 @@
 			log.Error("the old configuration stays", "err", err)
 			continue
 		}
-		n.Move(cfg.Discovery)
+		n.Move(cfg.Sources()...)
 	}
 }
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -16,6 +16,7 @@
 	"sync"
 	"time"
 
+	"starlingusher/internal/registry"
 	"starlingusher/internal/wire"
 )
 
@@ -36,6 +37,7 @@
 	// A client that says nothing, or does not come to the end of a request, is owed an error or a close within
 	// 3 s of connecting; these two together keep that. Others give up on an answer after 0.4 s.
 	idleTimeout    = 2 * time.Second
+	acceptPause    = 50 * time.Millisecond  // when a connection could not be taken
 	requestTimeout = 800 * time.Millisecond // from a request's first byte to its last, and to write an answer
 	closeGrace     = 250 * time.Millisecond // for requests that are half read when the node leaves
 	lingerTimeout  = 300 * time.Millisecond // in which a client may read why it is being hung up on
@@ -372,7 +374,7 @@
 		nc, err := c.ln.Accept()
 		if err != nil {
 			<-c.room
-			if errors.Is(err, net.ErrClosed) || !sleep(ctx, firstBackoff) { // out of descriptors, most likely
+			if errors.Is(err, net.ErrClosed) || !registry.Sleep(ctx, acceptPause) { // out of descriptors, most likely
 				return
 			}
 			continue
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -10,6 +10,7 @@
 	"os"
 
 	"starlingusher/choice"
+	"starlingusher/fleet/catalog"
 	"starlingusher/internal/wire"
 )
 
@@ -26,9 +27,10 @@
 		Sockets  int     `json:"sockets"`
 		DiskMB   float64 `json:"disk_mb"`
 	} `json:"limits"`
-	Known       list            `json:"known"`
+	Known       catalog.List    `json:"known"`
 	RawSettings json.RawMessage `json:"settings"`
 
+	Fleet    Fleet           `json:"-"`
 	State    string          `json:"-"` // the folder that lasts
 	Settings choice.Settings `json:"-"`
 	Names    wire.Names      `json:"-"`
--- /dev/null
+++ b/internal/node/fleet.go
@@ -0,0 +1,122 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"starlingusher/internal/registry"
+)
+
+// Fleet says which parts of the fleet product are on, as the file that ROUTER_FLEET names has it. None are without.
+type Fleet struct {
+	Registry struct {
+		Addresses []string `toml:"addresses"` // of a directory's replicas, in place of discovery; none: off
+		KeepKB    int64    `toml:"keep_kb"`   // of the lasting folder for the last list; 0: it is not kept
+	} `toml:"registry"`
+}
+
+// LoadFleet reads the file; an empty path turns nothing on. An unknown name, or a value that can't be, is an error.
+func LoadFleet(path string) (Fleet, error) {
+	var f Fleet
+	if path == "" {
+		return f, nil
+	}
+	r, err := os.Open(path)
+	if err != nil {
+		return f, fmt.Errorf("fleet: %w", err)
+	}
+	defer r.Close()
+	if err := toml.NewDecoder(r).DisallowUnknownFields().Decode(&f); err != nil {
+		var strict *toml.StrictMissingError
+		if errors.As(err, &strict) && len(strict.Errors) > 0 {
+			row, _ := strict.Errors[0].Position()
+			return f, fmt.Errorf("fleet: %s: line %d: there is no setting %v", path, row, strict.Errors[0].Key())
+		}
+		return f, fmt.Errorf("fleet: %s: %w", path, err)
+	}
+	for _, a := range f.Registry.Addresses {
+		if _, _, err := net.SplitHostPort(a); err != nil {
+			return f, fmt.Errorf("fleet: %s: registry.addresses: %w", path, err)
+		}
+	}
+	if f.Registry.KeepKB < 0 {
+		return f, fmt.Errorf("fleet: %s: registry.keep_kb is 0 or more", path)
+	}
+	return f, nil
+}
+
+// Sources are the addresses that tell the list and take notices: discovery's, unless the fleet has a directory.
+func (c *Config) Sources() []string {
+	if len(c.Fleet.Registry.Addresses) > 0 {
+		return c.Fleet.Registry.Addresses
+	}
+	return []string{c.Discovery}
+}
+
+// journalMB is what of the lasting folder is the journal's: while the kept list is replaced there are two of it.
+func (c *Config) journalMB() float64 {
+	mb := c.Limits.DiskMB
+	if mb <= 0 {
+		mb = defaultDiskMB
+	}
+	if len(c.Fleet.Registry.Addresses) == 0 || c.Fleet.Registry.KeepKB == 0 {
+		return c.Limits.DiskMB
+	}
+	return mb - 2*float64(c.Fleet.Registry.KeepKB)/1024
+}
+
+// keptList is the last list in the lasting folder, for a start while nobody tells one.
+type keptList struct {
+	log *slog.Logger
+
+	mu   sync.Mutex
+	kept *registry.Kept
+}
+
+// openKept reads what the folder keeps; nil if nothing is kept there.
+func openKept(cfg Config, log *slog.Logger) *keptList {
+	f := cfg.Fleet.Registry
+	if len(f.Addresses) == 0 || f.KeepKB == 0 {
+		return nil
+	}
+	kept, err := registry.OpenKept(cfg.State, f.KeepKB<<10)
+	if err != nil {
+		log.Warn("the kept list is lost", "err", err)
+	}
+	return &keptList{log: log, kept: kept}
+}
+
+func (k *keptList) take(n registry.News) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.kept.Take(n, time.Now())
+}
+
+func (k *keptList) heard() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.kept.Heard(time.Now())
+}
+
+// run writes the file until the context ends. A folder that can't be written costs the list's age, and no more.
+func (k *keptList) run(ctx context.Context) {
+	failing := false
+	for more := true; more; {
+		more = registry.Sleep(ctx, time.Second)
+		k.mu.Lock()
+		_, err := k.kept.Flush(time.Now())
+		k.mu.Unlock()
+		if err != nil && !failing {
+			k.log.Warn("the list can't be kept", "err", err)
+		}
+		failing = err != nil
+	}
+}
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -18,6 +18,8 @@
 	"time"
 
 	"starlingusher/choice"
+	"starlingusher/fleet/catalog"
+	"starlingusher/internal/registry"
 )
 
 // Of the processes of a node the one that holds the lock in the lasting folder decides and writes the journal.
@@ -62,7 +64,8 @@
 	Sender   choice.Saved
 	Revision int64
 	ToldBy   string // the discovery that counts so
-	Members  []member
+	History  int64  `json:",omitempty"` // that it counts by, if it tells one
+	Members  []catalog.Endpoint
 	Waits    map[string]int64 // by endpoint; those of one destination share it
 	Out      []outState
 }
@@ -289,7 +292,7 @@
 			said = text
 			log.Warn("another process holds the node", "err", err)
 		}
-		if !sleep(ctx, lockPoll) {
+		if !registry.Sleep(ctx, lockPoll) {
 			return nil, nil, ctx.Err()
 		}
 	}
@@ -317,7 +320,7 @@
 		if !warned {
 			log.Warn("waiting until the clients' address is free", "err", err)
 		}
-		if !sleep(ctx, addressPoll) {
+		if !registry.Sleep(ctx, addressPoll) {
 			return nil, ctx.Err()
 		}
 	}
@@ -384,7 +387,7 @@
 		if owned, err = tryLock(lock); err != nil {
 			return nil, nil, err
 		}
-		if !owned && !sleep(ctx, time.Millisecond) {
+		if !owned && !registry.Sleep(ctx, time.Millisecond) {
 			return nil, nil, ctx.Err()
 		}
 	}
@@ -435,9 +438,10 @@
 func (n *Node) inherit(l *link, from *legacy, sender *choice.Sender) {
 	n.sender, n.forebear = sender, l
 	n.start = time.Now().Add(epoch - from.Clock - time.Since(from.At))
-	n.cfg.Known = list{Revision: from.Revision, Complete: true, Members: from.Members}
-	if from.ToldBy != n.cfg.Discovery {
-		n.cfg.Known.Revision = 0 // another server's revisions count something else
+	n.cfg.Known = catalog.List{Revision: from.Revision, Complete: true, Members: from.Members}
+	n.told = registry.Position{History: from.History, Revision: from.Revision, From: from.ToldBy}
+	if from.History == 0 && !slices.Contains(n.cfg.Sources(), from.ToldBy) { // another server's revisions count something else
+		n.cfg.Known.Revision, n.told = 0, registry.Position{From: n.cfg.Discovery}
 	}
 	n.listed(n.cfg.Known) // the module has it already
 	for id, until := range from.Waits {
@@ -565,7 +569,7 @@
 		return fmt.Errorf("handover: %w", err)
 	}
 	from := legacy{
-		Clock: n.now(), At: time.Now(), Sender: saved, ToldBy: n.toldBy, Revision: n.revision,
+		Clock: n.now(), At: time.Now(), Sender: saved, ToldBy: n.told.From, Revision: n.told.Revision, History: n.told.History,
 		Members: slices.Collect(maps.Values(n.members)), Waits: map[string]int64{},
 	}
 	for id, e := range n.eps {
--- a/internal/node/handover_test.go
+++ b/internal/node/handover_test.go
@@ -24,7 +24,7 @@
 }
 
 // begin starts a process of the node whose lasting folder is state, at addr if that is not empty.
-func begin(t *testing.T, r *registry, state, addr string, known ...string) *life {
+func begin(t *testing.T, r *fakeRegistry, state, addr string, known ...string) *life {
 	t.Helper()
 	if addr == "" {
 		addr = "127.0.0.1:0"
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,11 +11,14 @@
 	"os"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"starlingusher/choice"
+	"starlingusher/fleet/catalog"
+	"starlingusher/internal/registry"
 )
 
 const (
@@ -62,7 +65,7 @@
 	events   chan any
 	orders   chan order
 	notices  chan []notice
-	moves    chan string // discovery's new address
+	moves    chan []string // the new addresses of what tells the list
 	over     chan struct{}
 	messages map[string]*past // all in the journal, by id
 	out      map[attempt]outCall
@@ -78,9 +81,9 @@
 	stuckSince time.Time
 	calls      sync.WaitGroup
 
-	members  map[string]member // the list, as discovery last told it
-	revision int64
-	toldBy   string // whose revision that is
+	members map[string]catalog.Endpoint // the list, as discovery last told it
+	told    registry.Position           // how far it was told
+	kept    *keptList                   // nil: it is not kept
 
 	// For the way from one process to the next; see handover.go.
 	ln       net.Listener
@@ -127,20 +130,29 @@
 
 // New loads the journal. Its folder must be the node's alone.
 func New(cfg Config, log *slog.Logger) (*Node, error) {
-	j, err := openJournal(cfg.State, cfg.Limits.DiskMB)
+	j, err := openJournal(cfg.State, cfg.journalMB())
 	if err != nil {
 		return nil, err
 	}
 	if j.spoilt != "" {
 		log.Warn("a part of the journal can't be read; what it may have been about ends as failed", "part", j.spoilt)
 	}
+	told := registry.Position{Revision: cfg.Known.Revision, From: cfg.Discovery}
+	kept := openKept(cfg, log)
+	if kept != nil {
+		if l, at, heard, ok := kept.kept.List(); ok {
+			log.Info("beginning with the kept list", "revision", l.Revision, "endpoints", len(l.Members), "age", time.Since(heard).Round(time.Second))
+			cfg.Known, told = l, at
+		}
+	}
 	return &Node{
+		told: told, kept: kept,
 		cfg: cfg, log: log, journal: j, sender: choice.New(cfg.Settings, seed(cfg.Seed)), start: time.Now(),
 		pool:   newPool(cfg.Settings.DialTimeout, cfg.Settings.ConnIdle, max(cfg.Limits.Sockets/4, 8)),
-		events: make(chan any, eventQueue), orders: make(chan order), notices: make(chan []notice), moves: make(chan string),
+		events: make(chan any, eventQueue), orders: make(chan order), notices: make(chan []notice), moves: make(chan []string),
 		over: make(chan struct{}), messages: map[string]*past{},
 		out: map[attempt]outCall{}, eps: map[string]*endpoint{}, waits: map[int]*atomic.Int64{},
-		figures: newFigures(cfg.Names.Classes), members: map[string]member{}, heirs: make(chan *link),
+		figures: newFigures(cfg.Names.Classes), members: map[string]catalog.Endpoint{}, heirs: make(chan *link),
 	}, nil
 }
 
@@ -212,7 +224,7 @@
 		}
 		n.stage.Store(leaving)
 		n.tell(life, choice.Leaving{By: n.now() + leaveAfter})
-		sleep(life, leaveAfter)
+		registry.Sleep(life, leaveAfter)
 		clients.close(closeGrace) // those inside a request get their answers from the loop, which still runs
 	})
 	n.loop(life, gone)
@@ -255,10 +267,10 @@
 	}
 }
 
-// Move tells a running node that discovery is at another address now. It may be called at any time.
-func (n *Node) Move(addr string) {
+// Move tells a running node that what tells the list is at other addresses now. It may be called at any time.
+func (n *Node) Move(addrs ...string) {
 	select {
-	case n.moves <- addr:
+	case n.moves <- addrs:
 	case <-n.over:
 	}
 }
@@ -267,39 +279,38 @@
 // server is asked for all it has, so that nothing is lost; while its list is older than what was told, it is not
 // taken, or a drain could be undone. Notices that were not answered go to the new address.
 func (n *Node) consult(ctx context.Context) {
-	addr, after := n.cfg.Discovery, n.cfg.Known.Revision
-	newest, caughtUp := after, time.Now() // only the watch, of which there is one at a time, uses them
-	tell := func(l list) error {
-		if l.Revision < newest && time.Now().Before(caughtUp) {
-			return errBehind
-		}
-		newest = l.Revision
-		n.tell(ctx, l)
-		return nil
-	}
-	nodes := max(n.cfg.Settings.Fleet, 1)
+	addrs := n.cfg.Sources()
+	track := registry.NewTrack(n.told) // the watch's, of which there is one at a time
 	var unanswered []notice
 	for ctx.Err() == nil {
 		here, leave := context.WithCancel(ctx)
 		transport := &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}
 		client := &http.Client{Transport: transport}
-		at, from := addr, after // those below change while the parts begin
+		at := addrs // which change while the parts begin
 		var parts sync.WaitGroup
+		w := registry.Watcher{Addresses: at, Nodes: max(n.cfg.Settings.Fleet, 1), Client: client, Log: n.log, Track: track}
+		if n.kept != nil {
+			w.Heard = n.kept.heard
+			parts.Go(func() { n.kept.run(here) })
+		}
 		parts.Go(func() {
-			watch(here, n.log, client, at, nodes, from, func(l list) error {
-				l.from = at
-				return tell(l)
+			w.Watch(here, func(l registry.News) error {
+				n.tell(ctx, l)
+				if n.kept != nil {
+					n.kept.take(l)
+				}
+				return nil
 			})
 		})
 		parts.Go(func() {
 			unanswered = report(here, n.log, client, at, unanswered, n.notices, func(b []notice) { n.tell(ctx, settled(b)) })
 		})
-		for stay := true; stay; { // being told the same address again changes nothing
+		for stay := true; stay; { // being told the same again changes nothing
 			select {
 			case to := <-n.moves:
-				if to != addr {
-					n.log.Info("discovery moves", "to", to)
-					addr, after, stay = to, 0, false
+				if !slices.Equal(to, addrs) {
+					n.log.Info("discovery moves", "to", strings.Join(to, " "))
+					addrs, stay = to, false
 				}
 			case <-ctx.Done():
 				stay = false
@@ -308,7 +319,7 @@
 		leave()
 		parts.Wait()
 		transport.CloseIdleConnections()
-		caughtUp = time.Now().Add(catchUpTime)
+		track.Moved(time.Now())
 	}
 }
 
@@ -469,9 +480,9 @@
 	fresh := newcomers{}
 	for _, e := range batch {
 		switch e := e.(type) {
-		case list:
-			n.revision, n.toldBy = e.Revision, e.from
-			events = append(events, n.listed(e))
+		case registry.News:
+			n.told = e.Position()
+			events = append(events, n.listed(e.List))
 		case outcomeOf:
 			events = append(events, n.elsewhere(e)...)
 		case forebearGone:
@@ -558,10 +569,10 @@
 }
 
 // listed brings the endpoints up to date. Calls that have not written their first byte hear of it by shut.
-func (n *Node) listed(l list) choice.Listed {
+func (n *Node) listed(l catalog.List) choice.Listed {
 	maps.DeleteFunc(n.waits, func(dest int, _ *atomic.Int64) bool { return !n.sender.Knows(dest) })
-	l.Members = slices.DeleteFunc(l.Members, func(m member) bool { return m.ID == "" })
-	entries := l.entries(n.cfg.Names)
+	l.Members = slices.DeleteFunc(l.Members, func(m catalog.Endpoint) bool { return m.ID == "" })
+	entries := entries(l.Members, n.cfg.Names)
 	named := map[string]bool{}
 	for i, m := range l.Members {
 		named[m.ID] = true
@@ -580,13 +591,13 @@
 				n.shut(e)
 			}
 		}
-		maps.DeleteFunc(n.members, func(id string, _ member) bool { return !named[id] })
+		maps.DeleteFunc(n.members, func(id string, _ catalog.Endpoint) bool { return !named[id] })
 	}
 	return choice.Listed{Whole: l.Complete, Entries: entries}
 }
 
 // place opens or shuts the way to an endpoint, as the list and the operators have it.
-func (n *Node) place(m member, entry choice.Entry) {
+func (n *Node) place(m catalog.Endpoint, entry choice.Entry) {
 	e := n.eps[m.ID]
 	if entry.Phase != choice.Ready || n.journal.barred[m.ID] {
 		n.shut(e)
@@ -635,7 +646,7 @@
 	n.journal.add(endpointRecord(kind, o.id, time.Now()))
 	n.log.Info("by hand", "endpoint", o.id, "serves", o.lift)
 	if m, listed := n.members[o.id]; listed {
-		n.place(m, list{Members: []member{m}}.entries(n.cfg.Names)[0])
+		n.place(m, entries([]catalog.Endpoint{m}, n.cfg.Names)[0])
 	}
 	return []choice.Event{choice.Barred{Endpoint: o.id, Lifted: o.lift}}
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -24,13 +24,15 @@
 	"time"
 
 	"starlingusher/choice"
+	"starlingusher/fleet/catalog"
+	"starlingusher/internal/registry"
 	"starlingusher/internal/wire"
 )
 
 func itoa(n int) string { return strconv.Itoa(n) }
 
 // registry is discovery on a loopback socket: lists go to whoever watches, notices are kept.
-type registry struct {
+type fakeRegistry struct {
 	srv *httptest.Server
 
 	mu      sync.Mutex
@@ -44,9 +46,9 @@
 	cutNow  context.CancelFunc
 }
 
-func newRegistry(t *testing.T) *registry {
+func newRegistry(t *testing.T) *fakeRegistry {
 	t.Helper()
-	r := &registry{more: make(chan struct{})}
+	r := &fakeRegistry{more: make(chan struct{})}
 	r.cut, r.cutNow = context.WithCancel(context.Background())
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /registry/instances", func(w http.ResponseWriter, req *http.Request) {
@@ -100,9 +102,9 @@
 	return r
 }
 
-func (r *registry) addr() string { return r.srv.Listener.Addr().String() }
+func (r *fakeRegistry) addr() string { return r.srv.Listener.Addr().String() }
 
-func (r *registry) tell(l string) {
+func (r *fakeRegistry) tell(l string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.lists = append(r.lists, l)
@@ -111,7 +113,7 @@
 }
 
 // state is what the notices said of a message, "" while there was none.
-func (r *registry) state(id string) string {
+func (r *fakeRegistry) state(id string) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, n := range r.notices {
@@ -154,27 +156,27 @@
 }
 
 // startNode runs a node in this process until the test ends or stop is called.
-func startNode(t *testing.T, r *registry, state string, known ...string) (addr string, stop func()) {
+func startNode(t *testing.T, r *fakeRegistry, state string, known ...string) (addr string, stop func()) {
 	t.Helper()
 	return startWith(t, r, state, nil, nil, known...)
 }
 
 // startSeen is startNode with the node shown to see before it runs.
-func startSeen(t *testing.T, r *registry, state string, see func(*Node), known ...string) (addr string, stop func()) {
+func startSeen(t *testing.T, r *fakeRegistry, state string, see func(*Node), known ...string) (addr string, stop func()) {
 	t.Helper()
 	return startWith(t, r, state, nil, see, known...)
 }
 
 // startAltered is startNode with something changed in the configuration.
 func startAltered(
-	t *testing.T, r *registry, state string, alter func(*Config), known ...string,
+	t *testing.T, r *fakeRegistry, state string, alter func(*Config), known ...string,
 ) (addr string, stop func()) {
 	t.Helper()
 	return startWith(t, r, state, alter, nil, known...)
 }
 
 func startWith(
-	t *testing.T, r *registry, state string, alter func(*Config), see func(*Node), known ...string,
+	t *testing.T, r *fakeRegistry, state string, alter func(*Config), see func(*Node), known ...string,
 ) (addr string, stop func()) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -351,31 +353,6 @@
 	p.next(t)
 }
 
-// A watch may die without a sign. What the list tells meanwhile counts as told all the same, so the silence itself
-// must end it; 8 s is twice the time allowed.
-func TestSilentWatchIsTakenUpAgain(t *testing.T) {
-	t.Parallel()
-	began, watches := time.Now(), make(chan time.Duration, 10)
-	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		watches <- time.Since(began)
-		w.(http.Flusher).Flush()
-		<-req.Context().Done()
-	}))
-	t.Cleanup(srv.Close)
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
-	var ended sync.WaitGroup
-	ended.Go(func() {
-		watch(ctx, slog.New(slog.DiscardHandler), srv.Client(), srv.Listener.Addr().String(), 1, 0, func(list) error { return nil })
-	})
-	<-watches
-	if again := <-watches; again > 8*time.Second {
-		t.Errorf("the silent watch is left after %v", again)
-	}
-	cancel()
-	ended.Wait()
-}
-
 // Another server may be behind the one before: its older list must not undo a drain, and the newer one must come. One
 // whose revisions count something else is believed after a while.
 func TestAnotherDiscoveryThatIsBehind(t *testing.T) {
@@ -406,7 +383,7 @@
 			var ended sync.WaitGroup
 			ended.Go(func() { n.consult(ctx) })
 			for i, want := range c.want {
-				if l := (<-n.events).(list); l.Revision != want {
+				if l := (<-n.events).(registry.News); l.Revision != want {
 					t.Errorf("list %d: got revision %d, want %d", i, l.Revision, want)
 				}
 				if i == 0 {
@@ -528,7 +505,7 @@
 	addr string
 }
 
-func startChild(t *testing.T, r *registry, state string, known ...string) *child {
+func startChild(t *testing.T, r *fakeRegistry, state string, known ...string) *child {
 	t.Helper()
 	cmd := exec.Command(os.Args[0])
 	cmd.Env = append(os.Environ(), "CORALYARD_TEST_CHILD=1", "ROUTER_STATE="+state,
@@ -949,10 +926,10 @@
 	p := newPartner(t, says(delivered))
 	n := bareNode(t, held())
 	for i := range 2000 {
-		members := []member{{ID: "e" + itoa(i), Addr: p.addr(), Cell: i, Phase: "SERVING"}, {ID: "e" + itoa(i-1), Cell: i - 1, Phase: "DELETED"}}
+		members := []catalog.Endpoint{{ID: "e" + itoa(i), Addr: p.addr(), Cell: i, Phase: "SERVING"}, {ID: "e" + itoa(i-1), Cell: i - 1, Phase: "DELETED"}}
 		a := handIn("m"+itoa(i), 50*time.Second)
 		a.dest = i
-		n.take(t.Context(), []any{list{Revision: int64(i), Members: members}})
+		n.take(t.Context(), []any{registry.News{List: catalog.List{Revision: int64(i), Members: members}}})
 		n.take(t.Context(), []any{a})
 		for len(n.out) > 0 {
 			n.take(t.Context(), []any{<-n.events})
@@ -968,7 +945,7 @@
 	}
 	n.start = n.start.Add(-time.Hour) // all windows pass
 	for range 2 {
-		n.take(t.Context(), []any{list{Complete: true, Members: []member{{ID: "last", Addr: p.addr(), Cell: 1e6, Phase: "SERVING"}}}})
+		n.take(t.Context(), []any{registry.News{List: catalog.List{Complete: true, Members: []catalog.Endpoint{{ID: "last", Addr: p.addr(), Cell: 1e6, Phase: "SERVING"}}}}})
 	}
 	if len(n.waits) > 2 || n.sender.Knows(3) {
 		t.Errorf("%d waits", len(n.waits))
--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -9,6 +9,8 @@
 	"log/slog"
 	"net/http"
 	"time"
+
+	"starlingusher/internal/registry"
 )
 
 const (
@@ -37,11 +39,12 @@
 // not answered. One that is answered is handed to done, for the journal may forget its message then. A post that
 // is not answered may have been taken all the same; telling it again does no harm.
 func report(
-	ctx context.Context, log *slog.Logger, client *http.Client, addr string,
+	ctx context.Context, log *slog.Logger, client *http.Client, addrs []string,
 	unanswered []notice, more <-chan []notice, done func([]notice),
 ) []notice {
-	var pause backoff
-	for ctx.Err() == nil {
+	var pause registry.Backoff
+	addr := addrs[0]
+	for failed := 0; ctx.Err() == nil; {
 		if len(unanswered) == 0 { // while some are not answered the loop keeps what comes
 			select {
 			case unanswered = <-more:
@@ -53,7 +56,9 @@
 		if err != nil {
 			if ctx.Err() == nil {
 				log.Warn("notices not answered", "discovery", addr, "owed", len(unanswered), "err", err)
-				sleep(ctx, pause.next())
+				failed++ // the next one may take them
+				addr = addrs[failed%len(addrs)]
+				registry.Sleep(ctx, pause.Next())
 			}
 			continue
 		}
--- a/internal/node/notices_test.go
+++ b/internal/node/notices_test.go
@@ -46,7 +46,7 @@
 	var reported sync.WaitGroup
 	var done, left []notice
 	reported.Go(func() {
-		left = report(ctx, slog.New(slog.DiscardHandler), srv.Client(), srv.Listener.Addr().String(), nil, more,
+		left = report(ctx, slog.New(slog.DiscardHandler), srv.Client(), []string{srv.Listener.Addr().String()}, nil, more,
 			func(n []notice) { done = append(done, n...) })
 	})
 	more <- owed
--- /dev/null
+++ b/internal/registry/registry_test.go
@@ -0,0 +1,259 @@
+package registry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"starlingusher/fleet/catalog"
+)
+
+func watcher(servers ...*httptest.Server) *Watcher {
+	w := &Watcher{Nodes: 1, Client: http.DefaultClient, Log: slog.New(slog.DiscardHandler), Track: NewTrack(Position{})}
+	for _, s := range servers {
+		w.Addresses = append(w.Addresses, s.Listener.Addr().String())
+	}
+	return w
+}
+
+// All nodes of a large fleet that are refused together ask again apart, some asks a second in all, and no node waits for
+// longer than it must not miss the news. A small fleet's nodes are back soon.
+func TestRefusedNodesAskApart(t *testing.T) {
+	t.Parallel()
+	for _, nodes := range []int{2, 36} {
+		const span = 30 * time.Second
+		asks, shortest, longest := 0, span, time.Duration(0)
+		for range nodes {
+			var pause Backoff
+			for at := time.Duration(0); at < span; asks++ {
+				wait := pause.apart(nodes)
+				shortest, longest = min(shortest, wait), max(longest, wait)
+				at += wait
+			}
+		}
+		if most := int(span/askEvery) * 4 / 3; asks > most {
+			t.Errorf("%d nodes ask %d times in %v", nodes, asks, span)
+		}
+		first := time.Duration(nodes) * askEvery
+		if shortest < first/2 || longest > min(12*first, longestAsk*3/2) {
+			t.Errorf("%d nodes wait for %v to %v", nodes, shortest, longest)
+		}
+	}
+}
+
+func TestRefusedAskIsTold(t *testing.T) {
+	t.Parallel()
+	for code, refused := range map[int]bool{503: true, 429: true, 500: false, 404: false} {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(code) }))
+		w := Watcher{Client: srv.Client()}
+		err := w.once(t.Context(), srv.Listener.Addr().String(), 0, 0, nil)
+		if err == nil || errors.Is(err, ErrRefused) != refused {
+			t.Errorf("%d: %v", code, err)
+		}
+		srv.Close()
+	}
+}
+
+// A watch may die without a sign. What the list tells meanwhile counts as told all the same, so the silence itself
+// must end it; 8 s is twice the time allowed.
+func TestSilentWatchIsTakenUpAgain(t *testing.T) {
+	t.Parallel()
+	began, watches := time.Now(), make(chan time.Duration, 10)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		watches <- time.Since(began)
+		w.(http.Flusher).Flush()
+		<-req.Context().Done()
+	}))
+	t.Cleanup(srv.Close)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var ended sync.WaitGroup
+	ended.Go(func() {
+		watcher(srv).Watch(ctx, func(News) error { return nil })
+	})
+	<-watches
+	if again := <-watches; again > 8*time.Second {
+		t.Errorf("the silent watch is left after %v", again)
+	}
+	cancel()
+	ended.Wait()
+}
+
+// What was told by one server is never undone by another, whatever their order; a new history is, as such.
+func TestTrackNeverGoesBack(t *testing.T) {
+	now := time.Now()
+	told := func(from string, history, revision int64, whole bool) News {
+		return News{List: catalog.List{Revision: revision, Complete: whole}, History: history, From: from}
+	}
+	for _, c := range []struct {
+		name string
+		at   Position
+		news News
+		late time.Duration // after the move to another server
+		ok   bool
+	}{
+		{"news", Position{7, 5, "a"}, told("b", 7, 6, false), 0, true},
+		{"the same again", Position{7, 5, "a"}, told("b", 7, 5, false), 0, true},
+		{"older", Position{7, 5, "a"}, told("b", 7, 4, true), time.Hour, false},
+		{"restored", Position{7, 5, "a"}, told("b", 8, 2, true), 0, true},
+		{"restored, without its list", Position{7, 5, "a"}, told("b", 8, 6, false), 0, false},
+		{"from before the restore", Position{8, 2, "a"}, told("b", 7, 9, true), time.Hour, false},
+		{"the platform's, older, too soon", Position{0, 5, "a"}, told("b", 0, 4, true), time.Second, false},
+		{"the platform's, older, for long", Position{0, 5, "a"}, told("b", 0, 4, true), 3 * time.Second, true},
+		{"a directory after the platform, too soon", Position{0, 5, "a"}, told("b", 9, 4, true), time.Second, false},
+		{"a directory after the platform", Position{0, 5, "a"}, told("b", 9, 4, true), 3 * time.Second, true},
+	} {
+		tr := NewTrack(c.at)
+		tr.Moved(now)
+		err := tr.Take(c.news, now.Add(c.late))
+		if (err == nil) != c.ok || err != nil && !errors.Is(err, ErrBehind) {
+			t.Errorf("%s: %v", c.name, err)
+		}
+		if want := c.at; !c.ok && tr.At() != want {
+			t.Errorf("%s: moved to %v", c.name, tr.At())
+		}
+	}
+}
+
+// With one server dead, one that refuses and one that is behind, the list still comes from the fourth, and goes on when that
+// one dies too.
+func TestWatchOutlivesItsServers(t *testing.T) {
+	t.Parallel()
+	answer := func(code int, history string, lines ...string) *httptest.Server {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+			w.Header().Set("Registry-History", history)
+			w.Header().Set("Retry-After", "1")
+			w.WriteHeader(code)
+			for _, l := range lines {
+				fmt.Fprintln(w, l)
+			}
+			w.(http.Flusher).Flush()
+			if code == http.StatusOK {
+				<-req.Context().Done()
+			}
+		}))
+		t.Cleanup(srv.Close)
+		return srv
+	}
+	dead := answer(500, "")
+	dead.Close()
+	good := answer(200, "3", `{"revision":8,"complete":true,"members":[]}`)
+	var asked atomic.Value
+	next := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		asked.Store(req.URL.RawQuery)
+		w.Header().Set("Registry-History", "3")
+		if !strings.Contains(req.URL.RawQuery, "after=8") {
+			w.WriteHeader(503)
+			return
+		}
+		fmt.Fprintln(w, `{"revision":9,"complete":false,"members":[]}`)
+		w.(http.Flusher).Flush()
+		<-req.Context().Done()
+	}))
+	t.Cleanup(next.Close)
+	w := watcher(dead, answer(503, "3"), answer(200, "3", `{"revision":7,"complete":true,"members":[]}`), good, next)
+	w.Track = NewTrack(Position{3, 8, "elsewhere"})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var last int64
+	w.Watch(ctx, func(n News) error {
+		if n.Revision < 8 || n.Revision < last {
+			t.Errorf("told revision %d after %d", n.Revision, last)
+		}
+		if last = n.Revision; last == 8 {
+			go good.CloseClientConnections()
+		}
+		if last == 9 {
+			cancel()
+		}
+		return nil
+	})
+	if last != 9 {
+		t.Errorf("came to revision %d, the last server was asked %v", last, asked.Load())
+	}
+}
+
+func TestKeptListComesBack(t *testing.T) {
+	dir := t.TempDir()
+	k, err := OpenKept(dir, 4096)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, _, _, ok := k.List(); ok {
+		t.Error("an empty folder keeps a list")
+	}
+	at := time.Now().Truncate(time.Second)
+	one := func(id, phase string) catalog.Endpoint {
+		return catalog.Endpoint{ID: id, Addr: "h:1", Phase: phase, Size: 1}
+	}
+	k.Take(News{List: catalog.List{Revision: 4, Complete: true, Members: []catalog.Endpoint{one("a", catalog.Serving), one("b", catalog.Serving)}}, History: 2, From: "x"}, at)
+	k.Take(News{List: catalog.List{Revision: 5, Members: []catalog.Endpoint{one("a", catalog.Deleted), one("b", catalog.Draining)}}, History: 2, From: "x"}, at)
+	if _, err := k.Flush(at); err != nil {
+		t.Fatal(err)
+	}
+	back, err := OpenKept(dir, 4096)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, pos, heard, ok := back.List()
+	if !ok || pos != (Position{2, 5, "x"}) || !heard.Equal(at) || len(l.Members) != 1 || l.Members[0] != one("b", catalog.Draining) {
+		t.Errorf("came back: %+v, %+v, %v, %v", l, pos, heard, ok)
+	}
+	// One that is too large leaves the older one; so does one that can't be written.
+	for i := range 100 {
+		back.Take(News{List: catalog.List{Revision: 6, Members: []catalog.Endpoint{one(fmt.Sprint("c", i), catalog.Serving)}}, History: 2}, at)
+	}
+	if _, err := back.Flush(at.Add(time.Minute)); err == nil {
+		t.Error("a list beyond the bound was kept")
+	}
+	if again, _ := OpenKept(dir, 4096); again.at.Revision != 5 {
+		t.Errorf("revision %d is left", again.at.Revision)
+	}
+	if err := os.WriteFile(back.path, []byte(`{"heard_at":"2026`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if lost, err := OpenKept(dir, 4096); err == nil || len(lost.members) > 0 {
+		t.Error("a spoilt file was taken as a list, or not told of")
+	}
+}
+
+// Whatever a server sends, a watch ends with an error and takes nothing that is no list.
+func FuzzWatch(f *testing.F) {
+	for _, s := range []string{"", "\n\n", "{}", `{"revision":-1,"members":null}`, `{"revision":9e99}`, "[", `{"revision":3,"members":[{"id":1}]}`} {
+		f.Add("1", []byte(s))
+	}
+	f.Fuzz(func(t *testing.T, history string, body []byte) {
+		rt := roundTrip(func(*http.Request) (*http.Response, error) {
+			return &http.Response{StatusCode: 200, Header: http.Header{"Registry-History": {history}}, Body: io.NopCloser(strings.NewReader(string(body)))}, nil
+		})
+		w := Watcher{Client: &http.Client{Transport: rt}, Log: slog.New(slog.DiscardHandler), Track: NewTrack(Position{1, 5, "a"})}
+		before := w.Track.At()
+		err := w.once(t.Context(), "a:1", 1, 5, func(n News) error {
+			if err := w.Track.Take(n, time.Now()); err != nil {
+				return err
+			}
+			if at := w.Track.At(); at.History < before.History || at.History == before.History && at.Revision < before.Revision {
+				t.Errorf("went back from %v to %v", before, at)
+			}
+			before = w.Track.At()
+			return nil
+		})
+		if err == nil {
+			t.Error("a watch has ended without saying why")
+		}
+	})
+}
+
+type roundTrip func(*http.Request) (*http.Response, error)
+
+func (r roundTrip) RoundTrip(req *http.Request) (*http.Response, error) { return r(req) }
