--- a/cmd/cottonrack/lab.go
+++ b/cmd/cottonrack/lab.go
@@ -23,11 +23,14 @@
 )
 
 type labCmd struct {
-	Run     labRunCmd     `cmd:"" help:"Play an experiment and judge it."`
-	Check   labCheckCmd   `cmd:"" help:"Read an experiment, and show what a seed draws from it; nothing is started."`
-	Report  labReportCmd  `cmd:"" help:"Write a page with plots from a run's results."`
-	Compare labCompareCmd `cmd:"" help:"Play two builds or two settings on the same seeds in turn, and tell the paired differences."`
-	Kinds   labKindsCmd   `cmd:"" help:"List the kinds of faults that an experiment may name."`
+	Run            labRunCmd       `cmd:"" help:"Play an experiment and judge it."`
+	Check          labCheckCmd     `cmd:"" help:"Read an experiment, and show what a seed draws from it; nothing is started."`
+	Report         labReportCmd    `cmd:"" help:"Write a page with plots from a run's results."`
+	Compare        labCompareCmd   `cmd:"" help:"Play two builds or two settings on the same seeds in turn, and tell the paired differences."`
+	Kinds          labKindsCmd     `cmd:"" help:"List the kinds of faults that an experiment may name."`
+	DirectorySize  labSizeCmd      `cmd:"" help:"Measure the list service: watches, writes, fail-over, and the plain ways beside it."`
+	PlainDirectory labPlainCmd     `cmd:"" hidden:""`
+	Directory      labDirectoryCmd `cmd:"" help:"Prove the list service: three replicas under faults, writers and watchers, and a checker."`
 }
 
 // playing is what all commands that play have in common.
--- a/cmd/cottonrack/main.go
+++ b/cmd/cottonrack/main.go
@@ -35,8 +35,9 @@
 	LogFormat string `enum:"text,json" default:"text" help:"Form of the log lines on standard error: text or json."`
 	LogLevel  string `enum:"debug,info,warn,error" default:"warn" help:"Least level of the log: debug, info, warn or error."`
 
-	Lab     labCmd     `cmd:"" help:"Play experiments with real nodes on this machine, judge them, and compare builds."`
-	Version versionCmd `cmd:"" help:"Print the program's version."`
+	Directory directoryCmd `cmd:"" help:"Run the list service, and look after it."`
+	Lab       labCmd       `cmd:"" help:"Play experiments with real nodes on this machine, judge them, and compare builds."`
+	Version   versionCmd   `cmd:"" help:"Print the program's version."`
 }
 
 // app is what a command gets beside its flags.
@@ -66,6 +67,7 @@
 
     cottonrack lab run experiments/smoke.toml --out /tmp/smoke
     cottonrack lab report /tmp/smoke
+    cottonrack directory serve --data /tmp/directory
 
 Exit codes: 0 done, 1 a rule or an expectation was not kept, 2 wrong use.`),
 		kong.ConfigureHelp(kong.HelpOptions{Compact: true}), kong.UsageOnError())
--- /dev/null
+++ b/internal/directory/admin.go
@@ -0,0 +1,207 @@
+package directory
+
+import (
+	"bytes"
+	"cmp"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/hashicorp/raft"
+
+	"starlingusher/fleet/catalog"
+)
+
+// Status is what a replica tells of itself.
+type Status struct {
+	ID        string        `json:"id"`
+	Founded   bool          `json:"founded"` // it is, or was, part of a service
+	State     string        `json:"state"`   // leader, follower, candidate, shutdown or beginning
+	Leader    string        `json:"leader"`  // empty: none is known
+	Fresh     bool          `json:"fresh"`   // the leader's word as of now
+	History   int64         `json:"history"`
+	Revision  int64         `json:"revision"`
+	Endpoints int           `json:"endpoints"`
+	AgeMS     int64         `json:"age_ms"` // since the leader was last heard of
+	Watches   int           `json:"watches"`
+	Held      *catalog.Held `json:"held,omitempty"`
+	SilentMS  int64         `json:"silent_since_ms,omitempty"` // Unix time since when the source of the list says nothing
+	Follows   string        `json:"follows,omitempty"`
+	Applied   uint64        `json:"applied"`
+	Members   []MemberState `json:"members"`
+}
+
+// MemberState is a replica of the service.
+type MemberState struct {
+	catalog.Replica
+	Votes bool `json:"votes"`
+	In    bool `json:"in"` // Raft counts it; else it is only invited
+}
+
+func (s *Server) status(w http.ResponseWriter, req *http.Request) {
+	answer(w, http.StatusOK, s.statusNow(req.URL.Query().Get("fresh") == "1"))
+}
+
+func (s *Server) statusNow(fresh bool) Status {
+	r := s.r
+	st := Status{ID: r.cfg.ID, State: "beginning", Watches: s.watches.count(), Follows: r.cfg.Follow.Discovery, AgeMS: r.age().Milliseconds()}
+	servers := map[string]raft.Server{}
+	if node := r.node(); node != nil {
+		st.State, st.Applied = node.State().String(), node.AppliedIndex()
+		for _, srv := range r.servers() {
+			servers[string(srv.ID)] = srv
+		}
+		st.Founded = len(servers) > 0
+		st.Fresh = fresh && r.current() == nil
+	}
+	st.Leader, _ = r.leader()
+	r.ledger.read(func(c *catalog.State) {
+		st.History, st.Revision, st.Endpoints, st.SilentMS = c.History(), c.Revision(), len(c.Entries()), c.Silent()
+		if h := c.Held(); h != nil {
+			held := *h
+			st.Held = &held
+		}
+		for id, rep := range c.Replicas() {
+			srv, in := servers[id]
+			st.Members = append(st.Members, MemberState{rep, in && srv.Suffrage == raft.Voter, in})
+		}
+	})
+	slices.SortFunc(st.Members, func(a, b MemberState) int { return cmp.Compare(a.ID, b.ID) })
+	return st
+}
+
+func (s *Server) history(w http.ResponseWriter, req *http.Request) {
+	q := req.URL.Query()
+	after, err := number(q.Get("after"), -1)
+	limit, err2 := number(q.Get("limit"), defaultTurns)
+	if err := errors.Join(err, err2); err != nil || limit < 1 || limit > maxHistory {
+		if err == nil {
+			err = fmt.Errorf("limit is 1 to %d", maxHistory)
+		}
+		wrong(w, http.StatusBadRequest, err)
+		return
+	}
+	var out struct {
+		History  int64            `json:"history"`
+		Revision int64            `json:"revision"`
+		All      bool             `json:"all"` // nothing older was left out for its age
+		Changes  []catalog.Change `json:"changes"`
+	}
+	s.r.ledger.read(func(c *catalog.State) {
+		out.History, out.Revision = c.History(), c.Revision()
+		if after < 0 { // the last ones
+			after = max(c.Revision()-limit, 0)
+		}
+		out.Changes, out.All = c.Changes(after)
+		out.Changes = append([]catalog.Change{}, out.Changes[:min(int64(len(out.Changes)), limit)]...)
+	})
+	answer(w, http.StatusOK, out)
+}
+
+// backup hands out the state, as of now if the caller wants that, else as this replica has it.
+func (s *Server) backup(w http.ResponseWriter, req *http.Request) {
+	if req.URL.Query().Get("fresh") == "1" {
+		if s.passOn(w, req, nil) {
+			return
+		}
+		if err := s.r.current(); err != nil {
+			later(w, time.Second, oneLine(err))
+			return
+		}
+	}
+	var image catalog.Image
+	s.r.ledger.read(func(c *catalog.State) { image = c.Image() })
+	raw, err := EncodeBackup(image)
+	if err != nil {
+		wrong(w, http.StatusInternalServerError, err)
+		return
+	}
+	s.mark(w, position{image.History, image.Revision})
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("Content-Length", strconv.Itoa(len(raw)))
+	w.Write(raw)
+}
+
+func (s *Server) restore(w http.ResponseWriter, req *http.Request) {
+	raw, ok := body(w, req, maxCommand/2)
+	if !ok {
+		return
+	}
+	image, err := DecodeBackup(bytes.NewReader(raw))
+	if err != nil {
+		wrong(w, http.StatusBadRequest, err)
+		return
+	}
+	s.command(w, req, raw, func() (catalog.Command, error) { return catalog.Command{Restore: &image}, nil })
+}
+
+func (s *Server) confirm(w http.ResponseWriter, req *http.Request) {
+	n, err := number(req.PathValue("number"), 0)
+	if err != nil {
+		wrong(w, http.StatusBadRequest, err)
+		return
+	}
+	s.command(w, req, nil, func() (catalog.Command, error) {
+		return catalog.Command{Confirm: &catalog.Confirm{Number: n, Drop: req.URL.Query().Get("drop") == "1"}}, nil
+	})
+}
+
+func (s *Server) join(w http.ResponseWriter, req *http.Request) {
+	raw, ok := body(w, req, maxWrite)
+	if !ok || s.passOn(w, req, raw) {
+		return
+	}
+	var ask joinAsk
+	if err := strict(raw, &ask); err != nil {
+		wrong(w, http.StatusBadRequest, err)
+		return
+	}
+	reply, err := s.r.join(ask)
+	switch {
+	case errors.Is(err, catalog.ErrUnknown):
+		wrong(w, http.StatusForbidden, err)
+	case err != nil:
+		later(w, time.Second, oneLine(err))
+	default:
+		answer(w, http.StatusOK, reply)
+	}
+}
+
+// invite lets a replica join.
+func (s *Server) invite(w http.ResponseWriter, req *http.Request) {
+	raw, ok := body(w, req, maxWrite)
+	if !ok {
+		return
+	}
+	s.command(w, req, raw, func() (catalog.Command, error) {
+		var rep catalog.Replica
+		if err := strict(raw, &rep); err != nil {
+			return catalog.Command{}, err
+		}
+		if rep.ID != req.PathValue("id") || rep.HTTP == "" || rep.Raft == "" {
+			return catalog.Command{}, errors.New("id (the path's), http and raft are needed")
+		}
+		return catalog.Command{Invite: &rep}, nil
+	})
+}
+
+// dismiss takes a replica out: it may not join again, and Raft no longer counts it.
+func (s *Server) dismiss(w http.ResponseWriter, req *http.Request) {
+	if s.passOn(w, req, nil) {
+		return
+	}
+	id := req.PathValue("id")
+	if id == s.r.cfg.ID {
+		wrong(w, http.StatusConflict, fmt.Errorf("replica %q leads; end its process first, so that another does", id))
+		return
+	}
+	s.command(w, req, nil, func() (catalog.Command, error) {
+		if err := s.r.node().RemoveServer(raft.ServerID(id), 0, proposeWait).Error(); err != nil {
+			return catalog.Command{}, fmt.Errorf("%w: %w", ErrRefused, err)
+		}
+		return catalog.Command{Dismiss: &catalog.Replica{ID: id}}, nil
+	})
+}
--- /dev/null
+++ b/internal/directory/directory_test.go
@@ -0,0 +1,635 @@
+package directory
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/raft"
+	"go.uber.org/goleak"
+
+	"starlingusher/fleet/catalog"
+)
+
+func TestMain(m *testing.M) {
+	http.DefaultTransport.(*http.Transport).DisableKeepAlives = true
+	goleak.VerifyTestMain(m)
+}
+
+// eventually waits for what must come; the time is only for a test that hangs.
+func eventually(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); !is(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s has not come", what)
+		}
+	}
+}
+
+func free(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// one is a replica of a test, which may be ended and started again.
+type one struct {
+	t   *testing.T
+	cfg Config
+	r   *Replica
+	s   *Server
+}
+
+func (o *one) start() {
+	o.t.Helper()
+	var err error
+	if o.r, err = Open(o.cfg, slog.New(slog.DiscardHandler)); err != nil {
+		o.t.Fatal(err)
+	}
+	if o.s, err = Serve(o.r); err != nil {
+		o.t.Fatal(err)
+	}
+}
+
+func (o *one) stop() {
+	if o.s != nil {
+		if err := errors.Join(o.s.Close(), o.r.Close()); err != nil {
+			o.t.Error(err)
+		}
+		o.s = nil
+	}
+}
+
+func (o *one) operator() *Operator {
+	return &Operator{Addresses: []string{o.cfg.HTTP}, Wait: 20 * time.Second}
+}
+
+// replicas starts so many, with empty folders.
+func replicas(t *testing.T, n int, set func(*Config)) []*one {
+	all := make([]*one, n)
+	for i := range all {
+		c := Defaults()
+		c.ID, c.HTTP, c.Data = fmt.Sprint("d", i), free(t), t.TempDir()
+		if n > 1 {
+			c.Raft = free(t)
+		}
+		if set != nil {
+			set(&c)
+		}
+		all[i] = &one{t: t, cfg: c}
+	}
+	for i, o := range all {
+		for j, p := range all {
+			if i != j {
+				o.cfg.Peers = append(o.cfg.Peers, Peer{p.cfg.ID, p.cfg.HTTP, p.cfg.Raft})
+			}
+		}
+	}
+	for _, o := range all {
+		o.start()
+		t.Cleanup(o.stop)
+	}
+	return all
+}
+
+func endpoint(id, phase string) catalog.Endpoint {
+	return catalog.Endpoint{ID: id, Addr: "10.0.0.1:80", Locality: "a", Flavor: "k", Phase: phase, Size: 1}
+}
+
+func put(t *testing.T, o *one, match string, members ...catalog.Endpoint) Written {
+	t.Helper()
+	w, err := o.operator().Put(t.Context(), members, false, true, match)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return w
+}
+
+// lines reads a watch's lists as they come.
+func lines(t *testing.T, o *one, query string) (<-chan catalog.List, func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+o.cfg.HTTP+"/registry/instances?watch=1"+query, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		raw, _ := io.ReadAll(resp.Body)
+		t.Fatalf("watch%s: %s %s", query, resp.Status, raw)
+	}
+	out := make(chan catalog.List, 1000)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		defer close(out)
+		defer resp.Body.Close()
+		s := bufio.NewScanner(resp.Body)
+		s.Buffer(nil, 1<<20)
+		for s.Scan() {
+			if len(bytes.TrimSpace(s.Bytes())) == 0 {
+				continue
+			}
+			var l catalog.List
+			if err := json.Unmarshal(s.Bytes(), &l); err != nil {
+				return
+			}
+			out <- l
+		}
+	}()
+	return out, func() { cancel(); <-done }
+}
+
+func TestAloneFromFirstWriteToRestore(t *testing.T) {
+	o := replicas(t, 1, func(c *Config) { c.Snapshot.Every, c.Snapshot.Interval.Duration = 4, 20*time.Millisecond })[0]
+	op := o.operator()
+	op.Wait = 0
+	eventually(t, "the leader", o.r.settled)
+	if _, _, _, err := op.List(t.Context(), false); !errors.Is(err, ErrRefused) {
+		t.Errorf("a list that was never written was told: %v", err)
+	}
+	put(t, o, "*", endpoint("a", catalog.Serving), endpoint("b", catalog.Serving))
+	news, end := lines(t, o, "&after=0")
+	if l := <-news; !l.Complete || l.Revision != 1 || len(l.Members) != 2 {
+		t.Errorf("first: %+v", l)
+	}
+	l, match, _, err := op.List(t.Context(), true)
+	if err != nil || l.Revision != 1 {
+		t.Fatal(l, err)
+	}
+	if _, err := op.Drain(t.Context(), "a"); err != nil {
+		t.Fatal(err)
+	}
+	if l := <-news; l.Complete || l.Revision != 2 || len(l.Members) != 1 || l.Members[0].Phase != catalog.Draining {
+		t.Errorf("then: %+v", l)
+	}
+	if _, err := op.Put(t.Context(), []catalog.Endpoint{endpoint("a", catalog.Serving)}, false, false, match); !errors.Is(err, catalog.ErrConflict) {
+		t.Errorf("a drain was undone by one who did not know of it: %v", err)
+	}
+	if _, err := op.Put(t.Context(), []catalog.Endpoint{endpoint("c", catalog.Serving)}, true, false, "*"); !errors.Is(err, catalog.ErrHeld) {
+		t.Errorf("a shrunk list was taken: %v", err)
+	}
+	st, err := op.Status(t.Context())
+	if err != nil || st.Held == nil {
+		t.Fatal(st, err)
+	}
+	if err := op.Confirm(t.Context(), st.Held.Number, true); err != nil {
+		t.Error(err)
+	}
+	saved, image, err := op.Backup(t.Context(), true)
+	if err != nil || image.Revision != 2 {
+		t.Fatal(image.Revision, err)
+	}
+	for i := range 10 {
+		put(t, o, "*", endpoint(fmt.Sprint("x", i), catalog.Serving))
+	}
+	eventually(t, "a snapshot", func() bool {
+		all, _ := filepath.Glob(filepath.Join(o.cfg.Data, "snapshots", "*", "state.bin"))
+		return len(all) > 0
+	})
+	end()
+	o.stop()
+	o.start()
+	l, _, header, err := o.operator().List(t.Context(), true)
+	if err != nil || l.Revision != 12 || len(l.Members) != 12 || header.Get(HeaderHistory) != fmt.Sprint(image.History) {
+		t.Fatalf("after a restart: revision %d, %d endpoints, %v", l.Revision, len(l.Members), err)
+	}
+	news, end = lines(t, o, "&after=10")
+	defer end()
+	if l := <-news; l.Complete || l.Revision != 12 || len(l.Members) != 2 {
+		t.Errorf("resumed over a restart and a snapshot: %+v", l)
+	}
+	if _, err := op.Restore(t.Context(), saved); err != nil {
+		t.Fatal(err)
+	}
+	if _, more := <-news; more {
+		t.Error("a watch went on into another history")
+	}
+	again, end2 := lines(t, o, fmt.Sprintf("&after=12&history=%d", image.History))
+	defer end2()
+	if l := <-again; !l.Complete || l.Revision != 2 || len(l.Members) != 2 {
+		t.Errorf("after a restore: %+v", l)
+	}
+	plain, end3 := lines(t, o, "&after=12") // by the platform's protocol alone
+	defer end3()
+	if l := <-plain; !l.Complete || l.Revision != 2 {
+		t.Errorf("after a restore, to one who knows no history: %+v", l)
+	}
+	if _, err := op.Restore(t.Context(), saved[:len(saved)-1]); err == nil {
+		t.Error("a damaged backup was taken")
+	}
+}
+
+func TestThreeOutliveTheirLosses(t *testing.T) {
+	all := replicas(t, 3, func(c *Config) {
+		c.Snapshot.Every, c.Snapshot.Trailing, c.Snapshot.Interval.Duration = 5, 5, 50*time.Millisecond
+	})
+	voters := func(of *one) int {
+		n := 0
+		for _, m := range of.s.statusNow(false).Members {
+			if m.Votes {
+				n++
+			}
+		}
+		return n
+	}
+	eventually(t, "three votes", func() bool { return voters(all[0]) == 3 })
+	for i := range 9 { // to any replica
+		if w := put(t, all[i%3], "*", endpoint(fmt.Sprint("e", i), catalog.Serving)); w.Revision != int64(i+1) {
+			t.Fatalf("write %d made revision %d", i, w.Revision)
+		}
+	}
+	lead := func() *one {
+		var l *one
+		eventually(t, "a leader", func() bool {
+			for _, o := range all {
+				if o.s != nil && o.r.settled() {
+					l = o
+				}
+			}
+			return l != nil
+		})
+		return l
+	}
+	old := lead()
+	old.stop()
+	next := lead()
+	put(t, next, "*", endpoint("late", catalog.Serving))
+	if err := os.RemoveAll(old.cfg.Data); err != nil { // its folder is lost
+		t.Fatal(err)
+	}
+	old.start()
+	eventually(t, "the lost one", func() bool { return voters(next) == 3 && old.s.statusNow(false).Revision == 10 })
+	other := all[0]
+	for _, o := range all {
+		if o != old && o != next {
+			other = o
+		}
+	}
+	other.stop()
+	log := filepath.Join(other.cfg.Data, "log.db")
+	info, err := os.Stat(log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Truncate(log, info.Size()/2); err != nil {
+		t.Fatal(err)
+	}
+	other.start()
+	eventually(t, "the one with the damaged log", func() bool { return voters(lead()) == 3 && other.s.statusNow(false).Revision == 10 })
+
+	left := lead()
+	for _, o := range all {
+		if o != left {
+			o.stop()
+		}
+	}
+	eventually(t, "the end of its lead", func() bool { return !left.r.leads() })
+	op := left.operator()
+	op.Wait = 0
+	if _, err := op.Put(t.Context(), []catalog.Endpoint{endpoint("z", catalog.Serving)}, false, false, "*"); !errors.Is(err, ErrRefused) || !strings.Contains(err.Error(), "no leader") {
+		t.Errorf("a write with two of three gone: %v", err)
+	}
+	l, _, header, err := op.List(t.Context(), false)
+	if err != nil || l.Revision != 10 || header.Get(HeaderAge) == "0" {
+		t.Errorf("a read with two of three gone: revision %d, age %s ms, %v", l.Revision, header.Get(HeaderAge), err)
+	}
+	resp, err := http.Get("http://" + left.cfg.HTTP + "/registry/instances?after=11")
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("one that is behind the caller answers %s", resp.Status)
+	}
+}
+
+// A watcher that does not read is cut, and nobody else notices.
+func TestWatcherThatDoesNotReadIsCut(t *testing.T) {
+	o := replicas(t, 1, func(c *Config) { c.Watch.Lag = 64 })[0]
+	big := func(i int) []catalog.Endpoint {
+		var all []catalog.Endpoint
+		for n := range 100 {
+			e := endpoint(fmt.Sprint("e", n), catalog.Serving)
+			e.Flavor, e.UpSince = strings.Repeat("k", 150), int64(i)
+			all = append(all, e)
+		}
+		return all
+	}
+	put(t, o, "*", big(0)...)
+	nc, err := net.Dial("tcp", o.cfg.HTTP)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	nc.(*net.TCPConn).SetReadBuffer(4096)
+	fmt.Fprintf(nc, "GET /registry/instances?watch=1&after=1 HTTP/1.1\r\nHost: d\r\n\r\n")
+	news, end := lines(t, o, "&after=1")
+	defer end()
+	eventually(t, "both watches", func() bool { return o.s.Watching() == 2 })
+	last := int64(0)
+	for i := 1; o.s.Watching() == 2; i++ {
+		last = put(t, o, "*", big(i)...).Revision
+		if i > 3000 {
+			t.Fatal("the watcher that does not read is kept")
+		}
+	}
+	for rev := int64(1); rev <= last; rev++ {
+		if l, ok := <-news; !ok || l.Revision != rev {
+			t.Fatalf("the other watch was told revision %d where %d was due", l.Revision, rev)
+		}
+	}
+}
+
+func TestRegistrationsAndRecordsOverHTTP(t *testing.T) {
+	o := replicas(t, 1, func(c *Config) { c.Lease.Share, c.Lease.Drain.Duration = 0.5, 50*time.Millisecond })[0]
+	op := o.operator()
+	put(t, o, "*", endpoint("fixed", catalog.Serving))
+	var w Written
+	register := func(id string) {
+		t.Helper()
+		body := map[string]any{"member": endpoint(id, catalog.Serving), "ttl_ms": 200}
+		if err := op.into(t.Context(), &w, http.MethodPut, "/registry/registrations/"+id, "", body); err != nil {
+			t.Fatal(err)
+		}
+	}
+	register("gone")
+	register("stays")
+	stop := make(chan struct{})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(20 * time.Millisecond):
+				op.into(context.Background(), nil, http.MethodPost, "/registry/renewals", "", map[string]any{"ids": []string{"stays"}})
+			}
+		}
+	}()
+	phase := func(id string) (p string) {
+		o.r.ledger.read(func(s *catalog.State) {
+			e, _ := s.Entry(id)
+			p = e.Phase
+		})
+		return p
+	}
+	eventually(t, "the end of the one that does not renew", func() bool { return phase("gone") == "" })
+	if phase("stays") != catalog.Serving || phase("fixed") != catalog.Serving {
+		t.Errorf("the others: %q, %q", phase("stays"), phase("fixed"))
+	}
+	close(stop)
+	<-done
+	if err := op.into(t.Context(), &w, http.MethodPut, "/records/lead", "", holdAsk{Holder: "a", TTL: 100, Value: []byte("1")}); err != nil {
+		t.Fatal(err)
+	}
+	token := w.Token
+	eventually(t, "the end of a holder that does not renew", func() bool {
+		return op.into(t.Context(), &w, http.MethodPut, "/records/lead", "", holdAsk{Holder: "b"}) == nil
+	})
+	if w.Token <= token {
+		t.Errorf("token %d after %d", w.Token, token)
+	}
+	if err := op.into(t.Context(), nil, http.MethodPost, "/records/lead", "", holdAsk{Token: token, Value: []byte("late")}); !errors.Is(err, catalog.ErrTaken) {
+		t.Errorf("an old token wrote: %v", err)
+	}
+}
+
+// A replica that follows takes the platform's list over, and marks it while the platform is silent.
+func TestFollowMarksWhatItCannotVouchFor(t *testing.T) {
+	talk := make(chan string, 10)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		for {
+			select {
+			case s := <-talk:
+				fmt.Fprintln(w, s)
+				w.(http.Flusher).Flush()
+			case <-req.Context().Done():
+				return
+			}
+		}
+	})}
+	go srv.Serve(ln)
+	defer srv.Close()
+	list := `{"revision":7,"complete":true,"members":[{"id":"e1","host_port":"h:1","locality":"a","flavor":"k","cell":3,"phase":"SERVING","size":1}]}`
+	talk <- list
+	o := replicas(t, 1, func(c *Config) { c.Follow.Discovery = ln.Addr().String() })[0]
+	op := o.operator()
+	l, _, header, err := op.List(t.Context(), false)
+	if err != nil || len(l.Members) != 1 || header.Get(HeaderVouched) != "" {
+		t.Fatalf("%+v, vouched %q, %v", l, header.Get(HeaderVouched), err)
+	}
+	if _, err := op.Drain(t.Context(), "e1"); !errors.Is(err, catalog.ErrTaken) {
+		t.Errorf("a list that is the platform's was written: %v", err)
+	}
+	silent := func() bool { return o.s.statusNow(false).SilentMS > 0 }
+	eventually(t, "the mark", silent)
+	if _, _, header, _ := op.List(t.Context(), false); header.Get(HeaderVouched) != "no" {
+		t.Error("the list is vouched for while its source is silent")
+	}
+	talk <- list
+	eventually(t, "the end of the mark", func() bool { return !silent() })
+}
+
+func TestAdmissionSpreadsReturns(t *testing.T) {
+	a := newAdmission(100, 50)
+	now := time.Unix(1000, 0)
+	in, seen := 0, map[time.Duration]bool{}
+	for range 250 {
+		ok, back := a.admit(1, now)
+		if ok {
+			in++
+			continue
+		}
+		if seen[back] || back > 2*time.Second {
+			t.Fatalf("two are told to return after %v", back)
+		}
+		seen[back] = true
+	}
+	if in != 50 || len(seen) != 200 {
+		t.Errorf("%d let in, %d turned away", in, len(seen))
+	}
+	if ok, _ := a.admit(1, now.Add(20*time.Millisecond)); !ok {
+		t.Error("the budget does not fill again")
+	}
+}
+
+func FuzzBackup(f *testing.F) {
+	s := catalog.New()
+	s.Apply(catalog.Command{At: 5, Found: &catalog.Found{}})
+	s.Apply(catalog.Command{Write: &catalog.Write{Base: catalog.Base{Any: true}, Members: []catalog.Endpoint{endpoint("a", catalog.Serving)}}})
+	good, err := EncodeBackup(s.Image())
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(good)
+	f.Add(good[:20])
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		i, err := DecodeBackup(bytes.NewReader(raw))
+		if err != nil {
+			if strings.Contains(oneLine(err), "\n") {
+				t.Error("not one line")
+			}
+			return
+		}
+		if s, err := catalog.Load(i); err != nil || s.Whole().Revision != i.Revision {
+			t.Errorf("what was read can't be a state: %v", err)
+		}
+	})
+}
+
+// FuzzSealed changes the body under a right hash: the decoder itself meets what it never wrote.
+func FuzzSealed(f *testing.F) {
+	f.Add([]byte{0xa1, 0x61, 0x41, 0x01})
+	f.Add([]byte{0xbf, 0xff})
+	f.Fuzz(func(t *testing.T, body []byte) {
+		raw := append([]byte(backupMark), make([]byte, 8)...)
+		raw = resealed(append(raw, body...))
+		if i, err := DecodeBackup(bytes.NewReader(raw)); err == nil {
+			s, err := catalog.Load(i)
+			if err != nil {
+				t.Fatal(err)
+			}
+			s.Apply(catalog.Command{Write: &catalog.Write{Base: catalog.Base{Any: true}, Whole: true}})
+			s.Since(0)
+		}
+		var c catalog.Command
+		if unseal(backupMark, raw, &c) == nil {
+			s := catalog.New()
+			s.Apply(catalog.Command{At: 1, Found: &catalog.Found{}})
+			s.Apply(c)
+		}
+	})
+}
+
+// FuzzRequests throws bodies and queries at the handlers of a replica.
+func FuzzRequests(f *testing.F) {
+	dir := f.TempDir()
+	c := Defaults()
+	c.HTTP, c.Data = "127.0.0.1:0", dir
+	r, err := Open(c, slog.New(slog.DiscardHandler))
+	if err != nil {
+		f.Fatal(err)
+	}
+	s, err := Serve(r)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Cleanup(func() { s.Close(); r.Close() })
+	for !r.settled() {
+		time.Sleep(time.Millisecond)
+	}
+	paths := []string{
+		"GET /registry/instances?", "PUT /registry/instances?", "POST /registry/instances?", "PUT /registry/instances/a?", "POST /reports?",
+		"PUT /registry/registrations/a?", "POST /registry/renewals?", "PUT /records/a?", "POST /records/a?", "POST /directory/restore?",
+		"POST /directory/join?", "PUT /directory/members/a?", "POST /directory/held/", "GET /directory/history?",
+	}
+	for i := range paths {
+		f.Add(uint8(i), "after=x&limit=-1", "*", []byte(`{"members":[{"id":"a","host_port":"h:1","phase":"SERVING","size":1}]}`))
+	}
+	f.Add(uint8(0), "after=99999999999999999999", "1.2.3", []byte("{"))
+	f.Fuzz(func(t *testing.T, which uint8, query, match string, body []byte) {
+		method, path, _ := strings.Cut(paths[int(which)%len(paths)], " ")
+		req, err := http.NewRequest(method, "http://d"+path+query, bytes.NewReader(body))
+		if err != nil || strings.Contains(query, "watch") {
+			return
+		}
+		req.Header.Set("If-Match", match)
+		w := &recorder{header: http.Header{}}
+		s.http.Handler.ServeHTTP(w, req)
+		if w.code >= 500 && w.code != 503 && w.code != 507 {
+			t.Errorf("%s %s%s: %d %s", method, path, query, w.code, w.body.Bytes())
+		}
+		if w.code >= 400 && strings.Count(strings.TrimSpace(w.body.String()), "\n") > 0 {
+			t.Errorf("%s %s: more than one line: %s", method, path, w.body.Bytes())
+		}
+	})
+}
+
+type recorder struct {
+	header http.Header
+	code   int
+	body   bytes.Buffer
+}
+
+func (r *recorder) Header() http.Header { return r.header }
+func (r *recorder) WriteHeader(c int)   { r.code = c }
+func (r *recorder) Write(b []byte) (int, error) {
+	return r.body.Write(b)
+}
+
+func resealed(raw []byte) []byte {
+	binary.BigEndian.PutUint64(raw[4:], xxhash.Sum64(raw[sealLen:]))
+	return raw
+}
+
+// A log that was changed anywhere is told to be damaged, or is as good as it was; it never ends the process.
+func FuzzLog(f *testing.F) {
+	dir := f.TempDir()
+	path := filepath.Join(dir, "log.db")
+	s, err := openLog(path)
+	if err != nil {
+		f.Fatal(err)
+	}
+	for i := range 40 {
+		raw, err := seal(commandMark, catalog.Command{Vouch: &catalog.Vouch{}})
+		if err == nil {
+			err = s.StoreLog(&raft.Log{Index: uint64(i + 1), Term: 1, Type: raft.LogCommand, Data: raw})
+		}
+		if err != nil {
+			f.Fatal(err)
+		}
+	}
+	if err := s.Close(); err != nil {
+		f.Fatal(err)
+	}
+	whole, err := os.ReadFile(path)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(uint32(0), uint32(1000), []byte("x"))
+	f.Add(uint32(4096), uint32(1<<20), []byte{0xff, 0xff, 0xff, 0xff})
+	f.Add(uint32(9000), uint32(12000), []byte{})
+	f.Fuzz(func(t *testing.T, at, length uint32, patch []byte) {
+		raw := bytes.Clone(whole)
+		copy(raw[min(int(at), len(raw)):], patch)
+		raw = raw[:min(int(length), len(raw))]
+		path := filepath.Join(t.TempDir(), "log.db")
+		if err := os.WriteFile(path, raw, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		s, err := openLog(path)
+		if err != nil {
+			if !errors.Is(err, errDamaged) {
+				t.Errorf("not told as damage: %v", err)
+			}
+			return
+		}
+		s.Close()
+	})
+}
--- /dev/null
+++ b/internal/directory/metrics.go
@@ -0,0 +1,92 @@
+package directory
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"starlingusher/fleet/catalog"
+)
+
+// metrics are a replica's figures in Prometheus' form.
+type metrics struct {
+	registry *prometheus.Registry
+	asks     *prometheus.CounterVec
+	cuts     *prometheus.CounterVec
+	writes   *prometheus.HistogramVec
+}
+
+func newMetrics(s *Server) *metrics {
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		asks: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "directory_asks_total", Help: "Asks for the list and for watches, by what came of them.",
+		}, []string{"result"}),
+		cuts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "directory_watch_cuts_total", Help: "Watches that the replica ended, by why.",
+		}, []string{"reason"}),
+		writes: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "directory_write_seconds", Help: "Time of writes at the leader, by their result.",
+			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 14),
+		}, []string{"result"}),
+	}
+	gauge := func(name, help string, of func() float64) prometheus.Collector {
+		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, of)
+	}
+	state := func(of func(*catalog.State) float64) func() float64 {
+		return func() (v float64) {
+			s.r.ledger.read(func(st *catalog.State) { v = of(st) })
+			return v
+		}
+	}
+	m.registry.MustRegister(m.asks, m.cuts, m.writes,
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+		gauge("directory_watches", "Watches that are open.", func() float64 { return float64(s.watches.count()) }),
+		gauge("directory_revision", "The list's revision here.", state(func(st *catalog.State) float64 { return float64(st.Revision()) })),
+		gauge("directory_history", "Number of the present history.", state(func(st *catalog.State) float64 { return float64(st.History()) })),
+		gauge("directory_held", "1 if a write is held back until it is confirmed.", state(func(st *catalog.State) float64 {
+			if st.Held() != nil {
+				return 1
+			}
+			return 0
+		})),
+		gauge("directory_vouched", "0 if the source of the list has gone silent.", state(func(st *catalog.State) float64 {
+			if st.Silent() > 0 {
+				return 0
+			}
+			return 1
+		})),
+		gauge("directory_leads", "1 at the leader.", func() float64 {
+			if s.r.settled() {
+				return 1
+			}
+			return 0
+		}),
+		gauge("directory_age_seconds", "Time since the leader was last heard of; 0 at the leader.", func() float64 { return s.r.age().Seconds() }),
+	)
+	return m
+}
+
+func (m *metrics) handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+func (m *metrics) asked(result string) { m.asks.WithLabelValues(result).Inc() }
+func (m *metrics) cut(reason string)   { m.cuts.WithLabelValues(reason).Inc() }
+
+func (m *metrics) wrote(took time.Duration, err error) {
+	result := "done"
+	switch {
+	case errors.Is(err, catalog.ErrHeld):
+		result = "held"
+	case errors.Is(err, ErrUnknown):
+		result = "unknown"
+	case err != nil:
+		result = "refused"
+	}
+	m.writes.WithLabelValues(result).Observe(took.Seconds())
+}
--- /dev/null
+++ b/internal/directory/operator.go
@@ -0,0 +1,272 @@
+package directory
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"time"
+
+	"starlingusher/fleet/catalog"
+)
+
+// Operator asks the service on somebody's behalf: of whatever replica answers.
+type Operator struct {
+	Addresses []string
+	By        string        // who asks, for the history
+	Why       string        // and why
+	Wait      time.Duration // for a replica that can serve; 0: each is asked once
+	Client    *http.Client  // nil: one of its own
+
+	preferred int // the address that answered last
+}
+
+// Refusal is the service's no.
+type Refusal struct {
+	Code     int
+	Reason   string
+	Outcome  string
+	Revision int64
+	Held     int64
+}
+
+func (r *Refusal) Error() string { return r.Reason }
+
+// Unwrap tells ErrUnknown, ErrRefused and those of package catalog apart.
+func (r *Refusal) Unwrap() error {
+	switch {
+	case r.Outcome == "unknown":
+		return ErrUnknown
+	case r.Code == http.StatusPreconditionFailed:
+		return catalog.ErrConflict
+	case r.Code == http.StatusAccepted:
+		return catalog.ErrHeld
+	case r.Code == http.StatusNotFound:
+		return catalog.ErrUnknown
+	case r.Code == http.StatusConflict:
+		return catalog.ErrTaken
+	case r.Code == http.StatusBadRequest:
+		return catalog.ErrBad
+	}
+	return ErrRefused
+}
+
+const operatorPause = 100 * time.Millisecond
+
+// Do sends a request to one replica after the other until one serves it, and returns the answer's body. A write whose
+// outcome is not known is not sent again.
+func (o *Operator) Do(ctx context.Context, method, path, match string, body []byte) ([]byte, http.Header, error) {
+	if len(o.Addresses) == 0 {
+		return nil, nil, fmt.Errorf("%w: no address of a replica was given", ErrRefused)
+	}
+	until := time.Now().Add(o.Wait)
+	for {
+		var errs []error
+		for range o.Addresses {
+			address := o.Addresses[o.preferred%len(o.Addresses)]
+			raw, header, err := o.once(ctx, address, method, path, match, body)
+			if err == nil || !errors.Is(err, ErrRefused) || ctx.Err() != nil {
+				return raw, header, err
+			}
+			errs = append(errs, fmt.Errorf("%s: %w", address, err))
+			o.preferred++
+		}
+		if time.Now().After(until) || !pause(ctx, operatorPause) {
+			return nil, nil, errors.Join(errs...)
+		}
+	}
+}
+
+func (o *Operator) once(ctx context.Context, address, method, path, match string, body []byte) ([]byte, http.Header, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, nil, err
+	}
+	for name, v := range map[string]string{"If-Match": match, "Registry-By": o.By, "Registry-Why": o.Why} {
+		if v != "" {
+			req.Header.Set(name, v)
+		}
+	}
+	client := o.Client
+	if client == nil {
+		client = http.DefaultClient
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		var dial *net.OpError
+		if method == http.MethodGet || errors.As(err, &dial) && dial.Op == "dial" {
+			return nil, nil, fmt.Errorf("%w: %w", ErrRefused, err)
+		}
+		return nil, nil, fmt.Errorf("%w: %w", ErrUnknown, err)
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxBackup))
+	if err != nil {
+		return nil, nil, fmt.Errorf("%w: %w", ErrUnknown, err)
+	}
+	if resp.StatusCode/100 == 2 && resp.StatusCode != http.StatusAccepted {
+		return raw, resp.Header, nil
+	}
+	var p problem
+	if json.Unmarshal(raw, &p) != nil || p.Error == "" {
+		p.Error = resp.Status
+	}
+	return nil, resp.Header, &Refusal{resp.StatusCode, p.Error, p.Outcome, p.Revision, p.Held}
+}
+
+// into does a request and reads its answer.
+func (o *Operator) into(ctx context.Context, v any, method, path, match string, body any) error {
+	var raw []byte
+	if body != nil {
+		var err error
+		if raw, err = json.Marshal(body); err != nil {
+			return err
+		}
+	}
+	raw, _, err := o.Do(ctx, method, path, match, raw)
+	if err != nil || v == nil {
+		return err
+	}
+	return json.Unmarshal(raw, v)
+}
+
+// Status asks one replica about itself.
+func (o *Operator) Status(ctx context.Context) (Status, error) {
+	var st Status
+	return st, o.into(ctx, &st, http.MethodGet, "/directory/status", "", nil)
+}
+
+// List reads the whole list and what a write that rests on it says as If-Match. If fresh it holds every write that was
+// acknowledged before; else it is what some replica has.
+func (o *Operator) List(ctx context.Context, fresh bool) (catalog.List, string, http.Header, error) {
+	path := "/registry/instances"
+	if fresh {
+		path += "?fresh=1"
+	}
+	raw, header, err := o.Do(ctx, http.MethodGet, path, "", nil)
+	if err != nil {
+		return catalog.List{}, "", header, err
+	}
+	var l catalog.List
+	if err := json.Unmarshal(raw, &l); err != nil {
+		return l, "", header, fmt.Errorf("list: %w", err)
+	}
+	return l, header.Get("ETag"), header, nil
+}
+
+// Written is the answer to a write.
+type Written struct {
+	Revision int64 `json:"revision"`
+	Token    int64 `json:"token"`
+}
+
+// Put writes endpoints, of phase Deleted those that go; with whole all others go as well. It rests on match.
+func (o *Operator) Put(ctx context.Context, members []catalog.Endpoint, whole, confirm bool, match string) (Written, error) {
+	method, path := http.MethodPost, "/registry/instances"
+	if whole {
+		method = http.MethodPut
+	}
+	if confirm {
+		path += "?confirm=1"
+	}
+	var w Written
+	return w, o.into(ctx, &w, method, path, match, map[string]any{"members": append([]catalog.Endpoint{}, members...)})
+}
+
+// Drain lets an endpoint drain, whatever else has changed.
+func (o *Operator) Drain(ctx context.Context, id string) (Written, error) {
+	var w Written
+	return w, o.into(ctx, &w, http.MethodPost, "/registry/instances/"+url.PathEscape(id)+"/drain", "*", nil)
+}
+
+// Confirm lets what is held back under a number happen, or drops it.
+func (o *Operator) Confirm(ctx context.Context, number int64, drop bool) error {
+	path := "/directory/held/" + strconv.FormatInt(number, 10)
+	if drop {
+		path += "?drop=1"
+	}
+	return o.into(ctx, nil, http.MethodPost, path, "", nil)
+}
+
+// Changes is the kept history, or a part of it.
+type Changes struct {
+	History  int64            `json:"history"`
+	Revision int64            `json:"revision"`
+	All      bool             `json:"all"`
+	Changes  []catalog.Change `json:"changes"`
+}
+
+// History reads changes after a revision; the last ones if that is less than 0.
+func (o *Operator) History(ctx context.Context, after int64, limit int) (Changes, error) {
+	var c Changes
+	return c, o.into(ctx, &c, http.MethodGet, fmt.Sprintf("/directory/history?after=%d&limit=%d", after, limit), "", nil)
+}
+
+// Backup reads the state, as of now if fresh, else as some replica has it. What comes was looked through.
+func (o *Operator) Backup(ctx context.Context, fresh bool) ([]byte, catalog.Image, error) {
+	path := "/directory/backup"
+	if fresh {
+		path += "?fresh=1"
+	}
+	raw, _, err := o.Do(ctx, http.MethodGet, path, "", nil)
+	if err != nil {
+		return nil, catalog.Image{}, err
+	}
+	image, err := DecodeBackup(bytes.NewReader(raw))
+	return raw, image, err
+}
+
+// Restore lets the service go on from a backup, as a new history.
+func (o *Operator) Restore(ctx context.Context, raw []byte) (Written, error) {
+	if _, err := DecodeBackup(bytes.NewReader(raw)); err != nil {
+		return Written{}, err
+	}
+	answer, _, err := o.Do(ctx, http.MethodPost, "/directory/restore", "", raw)
+	if err != nil {
+		return Written{}, err
+	}
+	var w Written
+	return w, json.Unmarshal(answer, &w)
+}
+
+// Invite lets a replica join.
+func (o *Operator) Invite(ctx context.Context, r catalog.Replica) error {
+	return o.into(ctx, nil, http.MethodPut, "/directory/members/"+url.PathEscape(r.ID), "", r)
+}
+
+// Dismiss takes a replica out of the service.
+func (o *Operator) Dismiss(ctx context.Context, id string) error {
+	return o.into(ctx, nil, http.MethodDelete, "/directory/members/"+url.PathEscape(id), "", nil)
+}
+
+// Difference is what a write would change: each endpoint as it would be, in the order of their IDs.
+func Difference(now, then []catalog.Endpoint, whole bool) []catalog.Endpoint {
+	was := map[string]catalog.Endpoint{}
+	for _, m := range now {
+		was[m.ID] = m
+	}
+	var out []catalog.Endpoint
+	for _, m := range then {
+		old, listed := was[m.ID]
+		if old != m && (m.Phase != catalog.Deleted || listed) {
+			out = append(out, m)
+		}
+		delete(was, m.ID)
+	}
+	if whole {
+		for _, m := range was {
+			m.Phase = catalog.Deleted
+			out = append(out, m)
+		}
+	}
+	slices.SortFunc(out, func(a, b catalog.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
--- /dev/null
+++ b/internal/directory/reports.go
@@ -0,0 +1,133 @@
+package directory
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+)
+
+const (
+	maxReports   = 256 << 20 // bytes of a file of notices, before another is begun
+	reportsWait  = 2 * time.Second
+	reportsName  = "reports.jsonl"
+	reportsMoved = "reports-%d.jsonl" // Unix ms of when the next one was begun
+)
+
+// reports takes nodes' notices of the ends of messages: it passes them on, or keeps them in the folder. Who handed
+// them in keeps them until it is told that they are taken.
+type reports struct {
+	to     string
+	client *http.Client
+	dir    string
+
+	mu   sync.Mutex
+	file *os.File // nil if they are passed on
+	size int64
+}
+
+func openReports(r *Replica) (*reports, error) {
+	s := &reports{to: r.cfg.Reports.To, client: r.client, dir: r.cfg.Data}
+	if s.to == "" {
+		s.to = r.cfg.Follow.Discovery
+	}
+	if s.to != "" {
+		return s, nil
+	}
+	return s, s.open()
+}
+
+func (s *reports) open() error {
+	f, err := os.OpenFile(filepath.Join(s.dir, reportsName), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return fmt.Errorf("notices: %w", err)
+	}
+	info, err := f.Stat()
+	if err != nil {
+		f.Close()
+		return fmt.Errorf("notices: %w", err)
+	}
+	s.file, s.size = f, info.Size()
+	return nil
+}
+
+func (s *reports) close() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.file == nil {
+		return nil
+	}
+	return s.file.Close()
+}
+
+// checkReports tells whether a body is one of notices, a JSON object a line.
+func checkReports(raw []byte) error {
+	n := 0
+	for line := range bytes.Lines(raw) {
+		n++
+		if len(bytes.TrimSpace(line)) == 0 {
+			continue
+		}
+		var one struct {
+			ID    string `json:"id"`
+			State string `json:"state"`
+		}
+		if err := json.Unmarshal(line, &one); err != nil || one.ID == "" || one.State == "" {
+			return fmt.Errorf(`line %d is not a notice with "id" and "state"`, n)
+		}
+	}
+	return nil
+}
+
+// take returns once the notices are safe elsewhere or on the disk.
+func (s *reports) take(ctx context.Context, raw []byte) error {
+	if s.to != "" {
+		return s.passOn(ctx, raw)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.size > maxReports {
+		moved := filepath.Join(s.dir, fmt.Sprintf(reportsMoved, time.Now().UnixMilli()))
+		if err := errors.Join(s.file.Close(), os.Rename(filepath.Join(s.dir, reportsName), moved), s.open()); err != nil {
+			return fmt.Errorf("notices: %w", err)
+		}
+	}
+	if len(raw) > 0 && raw[len(raw)-1] != '\n' {
+		raw = append(raw, '\n')
+	}
+	if _, err := s.file.Write(raw); err != nil { // a part that was written has no end; the next begins a new line
+		s.file.Truncate(s.size)
+		return fmt.Errorf("notices: %w", err)
+	}
+	if err := s.file.Sync(); err != nil {
+		return fmt.Errorf("notices: %w", err)
+	}
+	s.size += int64(len(raw))
+	return nil
+}
+
+func (s *reports) passOn(ctx context.Context, raw []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, reportsWait)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.to+"/reports", bytes.NewReader(raw))
+	if err != nil {
+		return fmt.Errorf("notices: %w", err)
+	}
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return fmt.Errorf("notices: %w", err)
+	}
+	defer resp.Body.Close()
+	io.Copy(io.Discard, io.LimitReader(resp.Body, 1<<20))
+	if resp.StatusCode/100 != 2 {
+		return fmt.Errorf("notices: %s", resp.Status)
+	}
+	return nil
+}
