--- a/fleet/experiment/check.go
+++ b/fleet/experiment/check.go
@@ -119,6 +119,10 @@
 	number("load.rate", f.Load.Rate, 0.01, 1e6)
 	number("load.clumps", f.Load.Clumps, 0, 0.9)
 	number("load.retries", f.Load.Retries, 0, 20)
+	number("discovery.replicas", f.Discovery.Replicas, 0, 5)
+	if n := f.Discovery.Replicas; n.Low != n.High || n.Low > 0 && int(n.Low)%2 == 0 {
+		bad("discovery.replicas", "a directory has 1, 3 or 5 replicas")
+	}
 	number("load.honour", f.Load.Honour, 0, 1)
 	number("load.rude", f.Load.Rude, 0, 100)
 	number("load.body", f.Load.Body, 0, 60000)
@@ -223,6 +227,9 @@
 	if x.At.High > f.Length.Low {
 		bad("at", "the fault may begin at %v, after the last message (%v)", x.At.High, f.Length.Low)
 	}
+	if aim&atReplicas != 0 && f.Discovery.Replicas.Low < 1 {
+		bad("kind", "a fault of kind %q needs a directory: [discovery] replicas = 3", x.Kind)
+	}
 	if aim&atPartners == 0 && (x.Partners != nil || x.Part != nil) {
 		bad("partners", "a fault of kind %q is not aimed at partners", x.Kind)
 	}
--- a/fleet/experiment/file.go
+++ b/fleet/experiment/file.go
@@ -70,7 +70,8 @@
 
 // Discovery is how late the platform tells of changes.
 type Discovery struct {
-	Delay Span `toml:"delay"`
+	Delay    Span   `toml:"delay"`
+	Replicas Number `toml:"replicas"` // of a directory of ours, which then tells the nodes; 0: the platform does
 }
 
 // Rules are the figures of the rules that the settings tell the nodes.
--- a/fleet/experiment/plan.go
+++ b/fleet/experiment/plan.go
@@ -34,6 +34,7 @@
 	Load     LoadPlan
 	Network  NetworkPlan
 	Rules    RulesPlan
+	Replicas int  // of the directory that tells the nodes; 0: the platform does
 	Listing  Span // how late the platform tells a node of a change
 	Expect   Expect
 }
@@ -135,6 +136,7 @@
 	Size     float64
 	Nodes    []int
 	Partners []int
+	Replicas []int
 	Way      string
 	Resume   bool
 	Lose     bool
@@ -151,6 +153,9 @@
 	if len(x.Nodes) > 0 {
 		s += fmt.Sprintf(", nodes %v", x.Nodes)
 	}
+	if len(x.Replicas) > 0 {
+		s += fmt.Sprintf(", replicas %v", x.Replicas)
+	}
 	if x.Until > 0 {
 		s += fmt.Sprintf(", until %v", x.Until.Round(time.Millisecond))
 	}
@@ -188,6 +193,7 @@
 	d.members(&p, rate)
 	d.partners(&p, rate)
 	d.nodes(&p, rate, nodes)
+	p.Replicas = f.Discovery.Replicas.whole(d.source("replicas"))
 	d.faults(&p)
 	d.arrivals(&p, rate)
 	p.Settle = f.Settle.draw(r)
@@ -398,8 +404,12 @@
 		}
 		step := x.Step.draw(r)
 		partners, nodes := d.aimPartners(r, x, p), d.aimNodes(r, x, p)
+		var replicas []int
+		if targets[x.Kind]&atReplicas != 0 {
+			replicas = r.Perm(p.Replicas)
+		}
 		if step == 0 {
-			one.Partners, one.Nodes = partners, nodes
+			one.Partners, one.Nodes, one.Replicas = partners, nodes, replicas
 			p.Faults = append(p.Faults, one)
 			continue
 		}
@@ -409,10 +419,15 @@
 		if stepNodes {
 			steps = len(nodes)
 		}
+		if replicas != nil {
+			steps = len(replicas)
+		}
 		for k := range steps {
 			each := one
 			each.Partners, each.Nodes = partners, nodes
-			if stepNodes {
+			if replicas != nil {
+				each.Replicas = replicas[k : k+1]
+			} else if stepNodes {
 				each.Nodes = nodes[k : k+1]
 			} else {
 				each.Partners = partners[k : k+1]
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -259,6 +259,12 @@
 			t.Fatalf("write %d made revision %d", i, w.Revision)
 		}
 	}
+	for _, o := range all { // a write may rest on what any replica has told
+		l, match, _, err := o.operator().List(t.Context(), true)
+		if err != nil || match == "" || l.Revision != 9 {
+			t.Errorf("a fresh read at %s: revision %d, to rest on %q, %v", o.cfg.ID, l.Revision, match, err)
+		}
+	}
 	lead := func() *one {
 		var l *one
 		eventually(t, "a leader", func() bool {
--- a/internal/directory/replica.go
+++ b/internal/directory/replica.go
@@ -15,6 +15,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -26,9 +27,10 @@
 
 const (
 	proposeWait = 2 * time.Second // for room in the queue of writes
+	agreeWait   = 4 * time.Second // for a majority; who waits for an answer has given up by then
 	tick        = 100 * time.Millisecond
 	askPeers    = 300 * time.Millisecond
-	peerTimeout = time.Second
+	peerTimeout = 500 * time.Millisecond
 	raftTimeout = 2 * time.Second // of one call between replicas
 	nearEnough  = 64              // entries behind the leader, with which a replica may vote
 	keepLogs    = 2               // snapshots
@@ -44,6 +46,9 @@
 	ErrRemoved = errors.New("this replica was removed from the service")
 )
 
+// errForbidden says that the leader does not know this replica as one of the service.
+var errForbidden = errors.New("not one of the service")
+
 // Replica is one process's part of the service. Open starts it, Close ends all that it started.
 type Replica struct {
 	cfg    Config
@@ -54,7 +59,8 @@
 	cancel context.CancelFunc
 	parts  sync.WaitGroup
 	opened time.Time
-	failed chan error // the first thing that it can't go on after
+	stuck  atomic.Bool // the folder can't be written
+	failed chan error  // the first thing that it can't go on after
 
 	mu        sync.Mutex // guards what follows
 	raft      *raft.Raft // nil until it is known what this replica is
@@ -186,7 +192,7 @@
 	} else if transport, err = r.listen(); err != nil {
 		return err
 	}
-	stable := patientStore{r.store, r.log, r.ctx.Done()}
+	stable := patientStore{r.store, r.log, r.ctx.Done(), &r.stuck}
 	cached, err := raft.NewLogCache(512, r.store)
 	if err != nil {
 		return err
@@ -298,15 +304,20 @@
 	}
 }
 
-// stay asks to be a part of the service until this replica has a vote.
+// stay asks to be a part of the service until the leader says that this replica has a vote: what it has itself may be
+// a configuration of before it was taken out.
 func (r *Replica) stay() {
 	for pause(r.ctx, askPeers) {
-		if r.votes() {
-			return
-		}
 		for _, p := range r.cfg.Peers {
 			var joined joinReply
 			err := r.ask(http.MethodPost, p.HTTP, "/directory/join", joinAsk{Replica: r.self(), Applied: r.node().AppliedIndex()}, &joined)
+			if errors.Is(err, errForbidden) {
+				r.fail(fmt.Errorf("%w; `cottonrack directory member add` invites it again", ErrRemoved))
+				return
+			}
+			if joined.Votes {
+				return
+			}
 			if err == nil {
 				break
 			}
@@ -338,12 +349,6 @@
 	return f.Configuration().Servers
 }
 
-func (r *Replica) votes() bool {
-	return slices.ContainsFunc(r.servers(), func(s raft.Server) bool {
-		return string(s.ID) == r.cfg.ID && s.Suffrage == raft.Voter
-	})
-}
-
 type joinAsk struct {
 	catalog.Replica
 	Fresh   bool   `json:"fresh"`   // it knows nothing, and must be taken out before it begins
@@ -357,6 +362,9 @@
 // join takes a replica in, step by step: out if it is new and was in before, in without a vote, and with one once it
 // is near enough. The leader does it.
 func (r *Replica) join(a joinAsk) (joinReply, error) {
+	if !r.settled() {
+		return joinReply{}, fmt.Errorf("%w: this replica does not lead yet", ErrRefused)
+	}
 	invited := false
 	r.ledger.read(func(s *catalog.State) { _, invited = s.Replicas()[a.ID] })
 	if !invited {
@@ -502,8 +510,20 @@
 	if len(raw) > maxCommand {
 		return catalog.Result{}, fmt.Errorf("%w: %d bytes, %d at most", ErrRefused, len(raw), maxCommand)
 	}
+	if r.stuck.Load() {
+		return catalog.Result{}, fmt.Errorf("%w: the leader's folder can't be written", ErrRefused)
+	}
 	f := node.Apply(raw, proposeWait)
-	switch err := f.Error(); {
+	agreed := make(chan error, 1)
+	go func() { agreed <- f.Error() }() // Raft may hang on its disk
+	limit := time.NewTimer(agreeWait)
+	defer limit.Stop()
+	select {
+	case err = <-agreed:
+	case <-limit.C:
+		return catalog.Result{}, fmt.Errorf("%w: nothing was agreed on within %v", ErrUnknown, agreeWait)
+	}
+	switch {
 	case err == nil:
 		res, ok := f.Response().(catalog.Result)
 		if !ok {
@@ -635,6 +655,9 @@
 	if err != nil {
 		return err
 	}
+	if resp.StatusCode == http.StatusForbidden {
+		return fmt.Errorf("%w: %s", errForbidden, bytes.TrimSpace(raw))
+	}
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("%s: %s", resp.Status, bytes.TrimSpace(raw))
 	}
--- a/internal/directory/server.go
+++ b/internal/directory/server.go
@@ -217,7 +217,7 @@
 		answer(w, http.StatusGatewayTimeout, problem{Error: "the leader, " + id + ", was cut off while it answered", Outcome: "unknown"})
 		return true
 	}
-	for _, h := range []string{"Content-Type", "Retry-After", HeaderHistory, HeaderRevision, HeaderAge, HeaderVouched} {
+	for _, h := range []string{"Content-Type", "Retry-After", "ETag", HeaderHistory, HeaderRevision, HeaderAge, HeaderVouched} {
 		if v := resp.Header.Get(h); v != "" {
 			w.Header().Set(h, v)
 		}
--- a/internal/directory/store.go
+++ b/internal/directory/store.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"os"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/raft"
@@ -108,9 +109,12 @@
 	raft.StableStore
 	log  *slog.Logger
 	stop <-chan struct{}
+
+	stuck *atomic.Bool // while a write waits
 }
 
 func (p patientStore) insist(write func() error) error {
+	defer p.stuck.Store(false)
 	for told := false; ; told = true {
 		err := write()
 		if err == nil {
@@ -119,6 +123,7 @@
 			}
 			return nil
 		}
+		p.stuck.Store(true)
 		if !told {
 			p.log.Error("the folder can't be written; this replica takes no part in votes", "err", err)
 		}
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -74,6 +74,8 @@
 		return
 	}
 	switch x.Kind {
+	case "replica-kill", "replica-cut", "replica-stop":
+		r.replicaFault(x, ends)
 	case "limit":
 		r.limit(x, ends)
 	case "replace":
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -116,6 +116,9 @@
 		"ROUTER_DISCOVERY=" + n.r.platform.Agent(n.number).Addr(), "ROUTER_STATE=" + filepath.Join(n.dir, "state"),
 		"ROUTER_CONFIG=" + filepath.Join(n.dir, "config.json"), "TMPDIR=" + filepath.Join(n.dir, "tmp"),
 	}, n.r.opts.Env...)
+	if len(n.r.replicas) > 0 {
+		env = append(env, "ROUTER_FLEET="+filepath.Join(n.dir, "fleet.toml"))
+	}
 	process, err := n.r.sup.Start(proc.Spec{
 		Name: p.Name, Command: n.r.opts.Command, Env: env, Log: n.out, Sockets: p.Sockets, Full: n.full,
 	})
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -34,11 +34,13 @@
 
 // Options say how a plan is played.
 type Options struct {
-	Command  []string // one node's process; its environment tells it what it is
-	Env      []string // on top of what the protocol names
-	Dir      string   // an empty folder for the nodes' folders and logs; it stays
-	Progress func(Progress)
-	Log      *slog.Logger
+	Command []string // one node's process; its environment tells it what it is
+	Env     []string // on top of what the protocol names
+	// Directory is the command of a directory's replica, to which `--config FILE` is added; by default this program's own.
+	Directory []string
+	Dir       string // an empty folder for the nodes' folders and logs; it stays
+	Progress  func(Progress)
+	Log       *slog.Logger
 }
 
 // Progress is how far a run has come.
@@ -65,7 +67,9 @@
 	clients  *standin.Clients
 	partners []*standin.Partner
 	nodes    []*node
-	wg       sync.WaitGroup // what the timeline has set going
+	replicas []*replica        // of the directory, if there is one
+	windows  []*standin.Window // the nodes' on them
+	wg       sync.WaitGroup    // what the timeline has set going
 
 	mu        sync.Mutex
 	endpoints int // so many were ever made
@@ -73,6 +77,7 @@
 	limits    map[int][]float64
 	failed    []string // what the lab itself could not do
 	moves     int
+	endWrites context.CancelFunc // to the directory
 }
 
 // Play plays a plan once. The context ends it early, with an error and nothing left behind.
@@ -103,6 +108,9 @@
 	if err := r.build(); err != nil {
 		return err
 	}
+	if err := r.openDirectory(ctx); err != nil {
+		return err
+	}
 	if err := r.startAll(ctx); err != nil {
 		return err
 	}
@@ -296,7 +304,11 @@
 		}
 		r.sup.Close()
 	}
+	if r.endWrites != nil {
+		r.endWrites()
+	}
 	r.wg.Wait()
+	r.closeDirectory()
 	for _, n := range r.nodes {
 		n.wait()
 	}
--- a/internal/lab/standin/platform.go
+++ b/internal/lab/standin/platform.go
@@ -1,7 +1,7 @@
 package standin
 
 import (
-	"bufio"
+	"bytes"
 	"cmp"
 	"context"
 	"encoding/json"
@@ -59,6 +59,7 @@
 	mu      sync.Mutex
 	changes []change
 	present map[string]change // as the platform itself has it
+	news    chan struct{}     // closed when that changes
 }
 
 // Agent is the platform on one node's machine.
@@ -80,12 +81,14 @@
 	addr    string
 	told    int64 // the last revision noted as told
 	closers []*http.Server
+	quiet   bool              // a directory tells the node in its place
+	seen    map[string]string // phases that the directory has told
 }
 
 // NewPlatform makes a platform for so many nodes. Each node's agent is told of a change after a delay drawn from the
 // seed; heard is called for each notice of a node.
 func NewPlatform(nodes int, low, high time.Duration, seed uint64, log *observe.Log, heard func(node int, id, state string, after time.Duration)) *Platform {
-	p := &Platform{log: log, present: map[string]change{}}
+	p := &Platform{log: log, present: map[string]change{}, news: make(chan struct{})}
 	for n := range nodes {
 		r := rand.New(rand.NewPCG(seed, uint64(n)))
 		ctx, cancel := context.WithCancel(context.Background())
@@ -116,6 +119,8 @@
 	} else {
 		p.present[m.ID] = c
 	}
+	close(p.news)
+	p.news = make(chan struct{})
 	p.mu.Unlock()
 	for _, a := range p.agents {
 		if atOnce {
@@ -210,6 +215,10 @@
 // tell notes once that a change was told.
 func (a *Agent) tell(c change, at time.Duration) {
 	a.mu.Lock()
+	if a.quiet {
+		a.mu.Unlock()
+		return
+	}
 	before := a.told >= c.revision
 	a.told = max(a.told, c.revision)
 	a.mu.Unlock()
@@ -397,33 +406,57 @@
 }
 
 func (a *Agent) reports(w http.ResponseWriter, req *http.Request) {
+	raw, err := io.ReadAll(io.LimitReader(req.Body, 4*maxBody))
+	if err != nil || !a.take(raw) {
+		http.Error(w, "unreadable", http.StatusBadRequest)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// take notes the notices of a body, all of them or, if one can't be read, none.
+func (a *Agent) take(raw []byte) bool {
 	type notice struct {
 		ID    string  `json:"id"`
 		State string  `json:"state"`
 		After float64 `json:"after_ms"`
 	}
 	var all []notice
-	lines := bufio.NewScanner(io.LimitReader(req.Body, 4*maxBody))
-	lines.Buffer(nil, maxBody)
-	for lines.Scan() {
-		if len(lines.Bytes()) == 0 {
+	for line := range bytes.Lines(raw) {
+		if len(bytes.TrimSpace(line)) == 0 {
 			continue
 		}
 		var n notice
-		if json.Unmarshal(lines.Bytes(), &n) != nil || n.ID == "" || (n.State != history.Failed && n.State != history.Returned) {
-			http.Error(w, "unreadable", http.StatusBadRequest)
-			return
+		if json.Unmarshal(line, &n) != nil || n.ID == "" || (n.State != history.Failed && n.State != history.Returned) {
+			return false
 		}
 		all = append(all, n)
 	}
-	if lines.Err() != nil {
-		http.Error(w, "unreadable", http.StatusBadRequest)
-		return
-	}
 	for _, n := range all {
 		after := time.Duration(n.After * float64(time.Millisecond))
 		a.platform.log.Add(history.Event{Kind: history.Noticed, Node: a.node, Partner: -1, ID: n.ID, State: n.State, Wait: after})
 		a.heard(n.ID, n.State, after)
 	}
-	w.WriteHeader(http.StatusNoContent)
+	return true
+}
+
+// Quiet lets a directory tell the node in the agent's place.
+func (a *Agent) Quiet() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.quiet = true
+}
+
+// Members is the list as the platform itself has it, with addresses as node 0 has them, and what is closed when it changes.
+func (p *Platform) Members() ([]Member, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var all []Member
+	for _, c := range p.present {
+		m := c.member
+		m.Addr = c.addr(0)
+		all = append(all, m)
+	}
+	slices.SortFunc(all, func(x, y Member) int { return cmp.Compare(x.ID, y.ID) })
+	return all, p.news
 }
