Registry: a watch no longer passes over one of its addresses

Cause: after a failed address the count of failures was compared with one fewer than there are, and the next address was skipped: of two, the second was never asked when the watch began at the first. Test: every place of the one that is left, of two and three; it fails without the mend.

--- a/fleet/catalog/keeper.go
+++ b/fleet/catalog/keeper.go
@@ -15,12 +15,18 @@
 	Stand time.Duration // after which what is held back happens unconfirmed; 0: never
 
 	renewed map[string]time.Duration // endpoints with leases, and when they came last
+	changed map[string]int64         // their revision when they were last looked at
 	lapsed  map[string]time.Duration // since when
 	held    map[string]heldSince     // records
+	ending  map[string]time.Duration // endpoints whose lapse was asked for, and when
 	waiting int64                    // number of what is held back
 	since   time.Duration
 }
 
+// endsWithin is how long the end of a lease that was asked for may be on its way. What was renewed meanwhile, and
+// acknowledged, would be taken away all the same.
+const endsWithin = 5 * time.Second
+
 type heldSince struct {
 	token int64
 	at    time.Duration
@@ -30,7 +36,7 @@
 func NewKeeper(share float64, drain, stand time.Duration) *Keeper {
 	return &Keeper{
 		Share: share, Drain: drain, Stand: stand,
-		renewed: map[string]time.Duration{}, lapsed: map[string]time.Duration{}, held: map[string]heldSince{},
+		renewed: map[string]time.Duration{}, changed: map[string]int64{}, lapsed: map[string]time.Duration{}, held: map[string]heldSince{}, ending: map[string]time.Duration{},
 	}
 }
 
@@ -41,12 +47,18 @@
 	if !ok || e.TTL == 0 || e.Lapsed {
 		return fmt.Errorf("no lease of %.40q, register again: %w", id, ErrUnknown)
 	}
+	if at, asked := k.ending[id]; asked && now < at+endsWithin {
+		return fmt.Errorf("the lease of %.40q has run out, register again: %w", id, ErrUnknown)
+	}
 	k.renewed[id] = now
 	return nil
 }
 
 // Registered notes that an endpoint has just registered: its lease counts from now.
-func (k *Keeper) Registered(id string, now time.Duration) { k.renewed[id] = now }
+func (k *Keeper) Registered(id string, now time.Duration) {
+	k.renewed[id] = now
+	delete(k.ending, id)
+}
 
 // RenewRecord notes that the holder of a record is still there; of a token that does not hold it, it is an error.
 func (k *Keeper) RenewRecord(s *State, name string, token int64, now time.Duration) error {
@@ -54,6 +66,9 @@
 	if err != nil {
 		return err
 	}
+	if h, ok := k.held[name]; ok && h.token == token && r.TTL > 0 && now >= h.at+time.Duration(r.TTL)*time.Millisecond {
+		return fmt.Errorf("the lease of record %q has run out: %w", name, ErrTaken) // its end may be on its way
+	}
 	k.held[name] = heldSince{r.Token, now}
 	return nil
 }
@@ -75,8 +90,8 @@
 		if e.TTL == 0 {
 			continue
 		}
-		if _, ok := k.renewed[id]; !ok {
-			k.renewed[id] = now
+		if _, ok := k.renewed[id]; !ok || k.changed[id] != e.Revision { // it has just registered
+			k.renewed[id], k.changed[id] = now, e.Revision
 		}
 		if e.Lapsed {
 			if _, ok := k.lapsed[id]; !ok {
@@ -94,6 +109,8 @@
 	for id := range k.renewed {
 		if _, ok := s.i.Entries[id]; !ok {
 			delete(k.renewed, id)
+			delete(k.changed, id)
+			delete(k.ending, id)
 		}
 	}
 	for id, at := range k.lapsed {
@@ -122,11 +139,18 @@
 	var out []Command
 	slices.Sort(l.Drain)
 	slices.Sort(l.Gone)
-	if len(s.lapses(l)) == 0 { // they may not yet
-		if len(l.Drain)+len(l.Gone) > 0 {
-			next = min(next, time.Second)
+	if len(l.Drain)+len(l.Gone) > 0 {
+		next = min(next, time.Second)
+	}
+	ends := s.lapses(l) // the others may not yet
+	l.Drain, l.Gone = nil, nil
+	for _, e := range ends {
+		if e.Phase == Deleted {
+			l.Gone = append(l.Gone, e.ID)
+		} else {
+			l.Drain = append(l.Drain, e.ID)
+			k.ending[e.ID] = now
 		}
-		l.Drain, l.Gone = nil, nil
 	}
 	if len(l.Drain)+len(l.Gone)+len(l.Records) > 0 {
 		slices.SortFunc(l.Records, func(a, b Hold) int { return int(a.Token - b.Token) })
--- a/fleet/catalog/state.go
+++ b/fleet/catalog/state.go
@@ -622,10 +622,9 @@
 	if r.Holder != "" && r.Holder != h.Holder {
 		return r.Token, fmt.Errorf("record %q is held by %q: %w", h.Name, r.Holder, ErrTaken)
 	}
-	if r.Holder == "" {
-		s.i.Token++
-		r.Token = s.i.Token
-	}
+	// A holder that acquires again has a new token, and its lease anew: the end of the old one may be on its way.
+	s.i.Token++
+	r.Token = s.i.Token
 	r.Name, r.Holder, r.TTL = h.Name, h.Holder, h.TTL
 	if h.SetsVal {
 		r.Value = h.Value
--- a/internal/lab/trial/check_test.go
+++ b/internal/lab/trial/check_test.go
@@ -91,3 +91,16 @@
 		}
 	}
 }
+
+func TestLeasesFinds(t *testing.T) {
+	ok := []Held{{0, 1, ms(0), ms(10)}, {0, 2, ms(5), ms(15)}, {1, 3, ms(15), ms(20)}}
+	if bad := Leases(ok); len(bad) > 0 {
+		t.Errorf("nothing was wrong: %v", bad)
+	}
+	if bad := Leases(append(ok, Held{2, 4, ms(19), ms(30)})); len(bad) != 1 {
+		t.Errorf("two at once: %v", bad)
+	}
+	if bad := Leases(append(ok, Held{2, 3, ms(50), ms(60)})); len(bad) != 1 {
+		t.Errorf("one token twice: %v", bad)
+	}
+}
--- a/internal/lab/trial/trial.go
+++ b/internal/lab/trial/trial.go
@@ -53,6 +53,7 @@
 	Ops       map[string]int `json:"ops"`  // by kind and outcome
 	Told      int            `json:"told"` // lines of watches
 	Revisions int64          `json:"revisions"`
+	Leases    int            `json:"leases"` // times in which one held the record
 	Histories int            `json:"histories"`
 	// The longest time in which no write was done, and the longest that a write took to be refused.
 	NoWrites time.Duration `json:"no_writes"`
@@ -86,6 +87,7 @@
 	mu    sync.Mutex
 	ops   []Op
 	told  [][]Told
+	held  []Held
 	res   Result
 	done  time.Time // of the last write
 }
@@ -300,6 +302,9 @@
 	for n := range writers {
 		work.Go(func() { t.writes(writing, n) })
 	}
+	for n := range holders {
+		work.Go(func() { t.holds(writing, n) })
+	}
 	err := t.timeline(ctx)
 	stop()
 	work.Wait()
@@ -587,9 +592,11 @@
 		t.res.Told += len(w)
 	}
 	t.res.Problems = append(t.res.Problems, Writes(before.Truth, t.ops)...)
+	t.res.Leases = len(t.held)
+	t.res.Problems = append(t.res.Problems, Leases(t.held)...)
 	t.res.Problems = append(t.res.Problems, Linearizable(t.ops, checkLimit)...)
 	if len(t.res.Problems) > 0 {
-		raw, err := json.Marshal(map[string]any{"ops": t.ops, "told": t.told, "truth": truth})
+		raw, err := json.Marshal(map[string]any{"ops": t.ops, "told": t.told, "truth": truth, "held": t.held})
 		if err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/node/fleet_test.go
@@ -0,0 +1,64 @@
+package node
+
+import (
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// A node of a fleet follows whichever replica answers, and serves on the last list when none does, also after a restart
+// that begins with nothing.
+func TestNodeOutlivesItsDirectory(t *testing.T) {
+	t.Parallel()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dead := ln.Addr().String()
+	ln.Close()
+	p, r, state := newPartner(t, says(delivered)), newRegistry(t), t.TempDir()
+	r.tell(listOf(4, true, serving("e", p.addr(), 7, "SERVING")))
+	with := func(addrs ...string) func(*Config) {
+		return func(c *Config) {
+			c.Discovery, c.Fleet.Registry.Addresses, c.Fleet.Registry.KeepKB = dead, addrs, 64
+			c.Known.Members = nil
+		}
+	}
+	addr, stop := startAltered(t, r, state, with(dead, r.addr()))
+	tries := 0
+	eventually(t, "the first message", func() bool {
+		tries++
+		return ask(t, addr, enqueue("a"+itoa(tries), ofStatus, "")) == "+OK"
+	})
+	p.next(t)
+	stop()
+	addr, _ = startAltered(t, r, state, with(dead))
+	mustAnswer(t, addr, enqueue("b", ofStatus, ""), "+OK")
+	p.next(t)
+}
+
+func TestFleetFileIsStrict(t *testing.T) {
+	t.Parallel()
+	for text, want := range map[string]string{
+		"":                                  "",
+		"[registry]\naddresses = [\"h:1\"]": "",
+		"[registry]\naddress = \"h:1\"":     "line 2: there is no setting",
+		"[registry]\naddresses = [\"h\"]":   "missing port",
+		"[registry]\nkeep_kb = -1":          "0 or more",
+		"[registry":                         "fleet",
+	} {
+		path := filepath.Join(t.TempDir(), "fleet.toml")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_, err := LoadFleet(path)
+		if (err == nil) != (want == "") || err != nil && !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+	if f, err := LoadFleet(""); err != nil || len(f.Registry.Addresses) > 0 {
+		t.Errorf("without a file: %+v, %v", f, err)
+	}
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -182,11 +182,9 @@
 		w.Log.Debug("watch ended", "discovery", addr, "err", err)
 		var back *backError
 		wait := pause.Next()
+		failed++
 		switch {
-		case len(w.Addresses) > 1 && failed < len(w.Addresses)-1: // the next one may do at once
-			n++
-			failed++
-			w.Track.Moved(time.Now())
+		case failed < len(w.Addresses): // the next one may do at once
 			wait = rand.N(firstBackoff)
 		case errors.As(err, &back):
 			wait = back.after + rand.N(time.Second) // they say whole seconds
@@ -195,10 +193,13 @@
 		case !first: // it was cut, and the others' with it
 			wait = rand.N(time.Duration(w.Nodes) * askEvery)
 		}
-		if failed >= len(w.Addresses)-1 {
-			n++
+		if failed >= len(w.Addresses) {
 			failed = 0
 		}
+		if len(w.Addresses) > 1 {
+			n++
+			w.Track.Moved(time.Now())
+		}
 		Sleep(ctx, wait)
 	}
 }
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -183,6 +183,37 @@
 	}
 }
 
+// Wherever a watch begins, it comes to the one server that is left.
+func TestWatchComesToTheOneThatIsLeft(t *testing.T) {
+	t.Parallel()
+	good := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		fmt.Fprintln(w, `{"revision":1,"complete":true,"members":[]}`)
+		w.(http.Flusher).Flush()
+		<-req.Context().Done()
+	}))
+	t.Cleanup(good.Close)
+	dead := httptest.NewServer(http.NotFoundHandler())
+	dead.Close()
+	for n := 2; n <= 3; n++ {
+		for left := range n {
+			for range 12 { // the first one asked is left to chance
+				servers := []*httptest.Server{dead, dead, dead}[:n]
+				servers[left] = good
+				ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+				told := false
+				watcher(servers...).Watch(ctx, func(News) error {
+					told = true
+					cancel()
+					return nil
+				})
+				if !told {
+					t.Fatalf("the list of server %d of %d was never told", left, n)
+				}
+			}
+		}
+	}
+}
+
 func TestKeptListComesBack(t *testing.T) {
 	dir := t.TempDir()
 	k, err := OpenKept(dir, 4096)
