Directory: a follower whose disk was full no longer stays behind for good

Cause: with two calls under way to a follower, Raft's sender waits for its decoder and the decoder for a reader that has ended at the first append that was refused; nothing is logged and heartbeats go on, so watches there stay on an old list. Change: one call at a time.

--- a/cmd/cottonrack/trial.go
+++ b/cmd/cottonrack/trial.go
@@ -18,6 +18,7 @@
 	Runs   int           `help:"Play so many seeds one after the other, from --seed on." default:"1"`
 	Length time.Duration `help:"For how long faults come." default:"12s"`
 	Out    string        `help:"Folder for logs and what was seen; by default a new one, removed when nothing was found."`
+	Only   []string      `help:"Kinds of faults to play, by their names; without it all." sep:","`
 	Stale  bool          `help:"A breach to be found: what is promised to be fresh is read at any replica."`
 }
 
@@ -52,7 +53,7 @@
 			}
 		}
 		res, err := trial.Run(a.ctx, trial.Options{
-			Command: []string{self, "--log-level", "info", "directory", "serve"}, Dir: dir, Seed: s, Length: c.Length, Stale: c.Stale, Log: a.log,
+			Command: []string{self, "--log-level", "info", "directory", "serve"}, Dir: dir, Seed: s, Length: c.Length, Only: c.Only, Stale: c.Stale, Log: a.log,
 		})
 		if err != nil {
 			if passing && a.ctx.Err() != nil {
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -15,6 +15,8 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -55,12 +57,14 @@
 	cfg Config
 	r   *Replica
 	s   *Server
+
+	full atomic.Bool // its log can't be written
 }
 
 func (o *one) start() {
 	o.t.Helper()
 	var err error
-	if o.r, err = Open(o.cfg, slog.New(slog.DiscardHandler)); err != nil {
+	if o.r, err = open(o.cfg, slog.New(slog.DiscardHandler), func(s raft.LogStore) raft.LogStore { return fullStore{s, &o.full} }); err != nil {
 		o.t.Fatal(err)
 	}
 	if o.s, err = Serve(o.r); err != nil {
@@ -68,6 +72,21 @@
 	}
 }
 
+// fullStore is a log that can't be written while it is full.
+type fullStore struct {
+	raft.LogStore
+	full *atomic.Bool
+}
+
+func (f fullStore) StoreLogs(l []*raft.Log) error {
+	if f.full.Load() {
+		return errors.New("no space left on device")
+	}
+	return f.LogStore.StoreLogs(l)
+}
+
+func (f fullStore) StoreLog(l *raft.Log) error { return f.StoreLogs([]*raft.Log{l}) }
+
 func (o *one) stop() {
 	if o.s != nil {
 		if err := errors.Join(o.s.Close(), o.r.Close()); err != nil {
@@ -304,7 +323,38 @@
 	other.start()
 	eventually(t, "the one with the damaged log", func() bool { return voters(lead()) == 3 && other.s.statusNow(false).Revision == 10 })
 
+	// One goes for good, and another comes in its place; the one that was taken out ends by itself.
 	left := lead()
+	out := other
+	if out == left {
+		out = old
+	}
+	out.stop()
+	op0 := left.operator()
+	if err := op0.Dismiss(t.Context(), out.cfg.ID); err != nil {
+		t.Fatal(err)
+	}
+	fresh := &one{t: t, cfg: out.cfg}
+	fresh.cfg.ID, fresh.cfg.HTTP, fresh.cfg.Raft, fresh.cfg.Data = "d9", free(t), free(t), t.TempDir()
+	if err := op0.Invite(t.Context(), catalog.Replica{ID: "d9", HTTP: fresh.cfg.HTTP, Raft: fresh.cfg.Raft}); err != nil {
+		t.Fatal(err)
+	}
+	fresh.start()
+	t.Cleanup(fresh.stop)
+	eventually(t, "the new one", func() bool { return voters(lead()) == 3 && fresh.s.statusNow(false).Revision == 10 })
+	out.start()
+	if err := <-out.r.Failed(); !errors.Is(err, ErrRemoved) {
+		t.Errorf("one that was taken out ends with %v", err)
+	}
+	out.stop()
+	all = []*one{fresh, left}
+	for _, o := range []*one{old, other} {
+		if o != out {
+			all = append(all, o)
+		}
+	}
+
+	left = lead()
 	for _, o := range all {
 		if o != left {
 			o.stop()
@@ -330,6 +380,52 @@
 	}
 }
 
+// A follower whose disk is full falls behind, and catches up once it is not.
+func TestFollowerCatchesUpAfterAFullDisk(t *testing.T) {
+	all := replicas(t, 3, nil)
+	voters := func() (n int, lead *one) {
+		for _, o := range all {
+			for _, m := range o.s.statusNow(false).Members {
+				if m.Votes {
+					n++
+				}
+			}
+			if o.r.settled() {
+				lead = o
+			}
+		}
+		return n, lead
+	}
+	eventually(t, "three votes at each", func() bool { n, lead := voters(); return n == 9 && lead != nil })
+	_, lead := voters()
+	follower := all[0]
+	if follower == lead {
+		follower = all[1]
+	}
+	var last int64
+	var writes sync.WaitGroup
+	var mu sync.Mutex
+	for w := range 16 {
+		writes.Go(func() {
+			for i := range 120 {
+				op := lead.operator()
+				done, err := op.Put(context.Background(), []catalog.Endpoint{endpoint(fmt.Sprintf("e%d-%d", w, i), catalog.Serving)}, false, false, "*")
+				mu.Lock()
+				if last = max(last, done.Revision); err != nil {
+					t.Error(err)
+				}
+				mu.Unlock()
+				if w == 0 { // it fills, and is cleared, again and again while calls are under way
+					follower.full.Store(i%2 == 0)
+				}
+			}
+		})
+	}
+	writes.Wait()
+	follower.full.Store(false)
+	eventually(t, "the follower", func() bool { at, _ := follower.r.ledger.at(); return at.revision == last })
+}
+
 // A watcher that does not read is cut, and nobody else notices.
 func TestWatcherThatDoesNotReadIsCut(t *testing.T) {
 	o := replicas(t, 1, func(c *Config) { c.Watch.Lag = 64 })[0]
@@ -407,6 +503,10 @@
 	}
 	close(stop)
 	<-done
+	if raw, _, err := op.Do(t.Context(), http.MethodGet, "/metrics", "", nil); err != nil || !strings.Contains(string(raw), "directory_revision ") ||
+		!strings.Contains(string(raw), `directory_write_seconds_count{result="done"}`) {
+		t.Errorf("the figures: %.300s, %v", raw, err)
+	}
 	if err := op.into(t.Context(), &w, http.MethodPut, "/records/lead", "", holdAsk{Holder: "a", TTL: 100, Value: []byte("1")}); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/directory/replica.go
+++ b/internal/directory/replica.go
@@ -73,6 +73,11 @@
 // Open makes a replica of its folder and starts it. One whose folder is empty founds the service if it is alone, or
 // the first of several that are all new; otherwise it joins what is there.
 func Open(cfg Config, log *slog.Logger) (*Replica, error) {
+	return open(cfg, log, func(s raft.LogStore) raft.LogStore { return s })
+}
+
+// open is Open with something between Raft and its log, for tests.
+func open(cfg Config, log *slog.Logger, between func(raft.LogStore) raft.LogStore) (*Replica, error) {
 	if err := cfg.Check(); err != nil {
 		return nil, err
 	}
@@ -102,7 +107,7 @@
 	}
 	r.store = store
 	r.parts.Go(func() {
-		if err := r.begin(); err != nil && r.ctx.Err() == nil {
+		if err := r.begin(between(store)); err != nil && r.ctx.Err() == nil {
 			r.fail(err)
 		}
 	})
@@ -148,8 +153,9 @@
 			return errors.New("the replica could not end its work")
 		}
 	}
-	if t, ok := transport.(io.Closer); ok {
+	if t, ok := transport.(*raft.NetworkTransport); ok {
 		err = errors.Join(err, t.Close())
+		t.CloseStreams()
 	}
 	r.parts.Wait()
 	r.client.CloseIdleConnections()
@@ -157,7 +163,7 @@
 }
 
 // begin finds out what this replica is, and starts Raft.
-func (r *Replica) begin() error {
+func (r *Replica) begin(logs raft.LogStore) error {
 	snaps, err := raft.NewFileSnapshotStoreWithLogger(r.cfg.Data, keepLogs, r.raftLog())
 	if err != nil {
 		return fmt.Errorf("snapshots: %w", err)
@@ -193,7 +199,7 @@
 		return err
 	}
 	stable := patientStore{r.store, r.log, r.ctx.Done(), &r.stuck}
-	cached, err := raft.NewLogCache(512, r.store)
+	cached, err := raft.NewLogCache(512, logs)
 	if err != nil {
 		return err
 	}
@@ -226,7 +232,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("raft: %w", err)
 	}
-	t, err := raft.NewTCPTransportWithLogger(cmp.Or(r.cfg.BindRaft, r.cfg.Raft), advertise, 3, raftTimeout, r.raftLog())
+	// One call at a time to each replica: with more, a follower that can't store what it is sent leaves the leader waiting
+	// for good (the sender for the decoder, which waits for a reader that has gone).
+	t, err := raft.NewTCPTransportWithConfig(cmp.Or(r.cfg.BindRaft, r.cfg.Raft), advertise, &raft.NetworkTransportConfig{
+		MaxPool: 3, Timeout: raftTimeout, Logger: r.raftLog(), MaxRPCsInFlight: 1,
+	})
 	if err != nil {
 		return nil, fmt.Errorf("raft: %w", err)
 	}
--- a/internal/lab/trial/trial.go
+++ b/internal/lab/trial/trial.go
@@ -42,6 +42,7 @@
 	Dir     string   // an empty folder; it stays
 	Seed    uint64
 	Length  time.Duration // of the faults
+	Only    []string      // kinds of faults; none: all
 	Stale   bool          // a seeded breach: what counts as fresh is read at any replica
 	Log     *slog.Logger
 }
@@ -104,6 +105,16 @@
 		return nil, err
 	}
 	err := t.play(ctx)
+	if len(t.res.Problems) > 0 { // where each one stands may tell why
+		for _, r := range t.all {
+			p := r.process()
+			p.Signal(syscall.SIGQUIT)
+			select {
+			case <-p.Done():
+			case <-time.After(opWait):
+			}
+		}
+	}
 	return &t.res, err
 }
 
@@ -506,11 +517,17 @@
 
 // timeline plays faults one after the other, at the leader half of the time, with a moment between two of them.
 func (t *trial) timeline(ctx context.Context) error {
+	kinds := slices.DeleteFunc(slices.Clone(faults), func(f fault) bool {
+		return len(t.opts.Only) > 0 && !slices.Contains(t.opts.Only, f.name)
+	})
+	if len(kinds) == 0 {
+		return fmt.Errorf("none of the faults is called %q", t.opts.Only)
+	}
 	for t.now() < t.opts.Length {
 		if !registry.Sleep(ctx, time.Duration(200+t.r.IntN(600))*time.Millisecond) {
 			return ctx.Err()
 		}
-		f, d := faults[t.r.IntN(len(faults))], time.Duration(300+t.r.IntN(1500))*time.Millisecond
+		f, d := kinds[t.r.IntN(len(kinds))], time.Duration(300+t.r.IntN(1500))*time.Millisecond
 		who := "any"
 		r := t.all[t.r.IntN(replicas)]
 		if t.r.IntN(2) == 0 {
