--- a/internal/lab/replicas.go
+++ b/internal/lab/replicas.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -41,11 +43,11 @@
 }
 
 func (d *replica) own(port int) string {
-	return fmt.Sprintf("127.%d.%d.%d:%d", d.r.block, replicaHost, d.number+1, port)
+	return net.JoinHostPort(d.r.block.IP(replicaHost, d.number+1), strconv.Itoa(port))
 }
 
 func (d *replica) reached(port int) string {
-	return fmt.Sprintf("127.%d.%d.%d:%d", d.r.block, linkHost, d.number+1, port)
+	return net.JoinHostPort(d.r.block.IP(linkHost, d.number+1), strconv.Itoa(port))
 }
 
 // openDirectory starts the replicas, the nodes' windows on them, and what keeps their list as the platform has it.
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -18,6 +18,7 @@
 
 	"starlingusher/fleet/experiment"
 	"starlingusher/fleet/history"
+	"starlingusher/internal/lab/block"
 	"starlingusher/internal/lab/observe"
 	"starlingusher/internal/lab/proc"
 	"starlingusher/internal/lab/standin"
@@ -60,8 +61,7 @@
 	opts  Options
 	log   *observe.Log
 	sup   *proc.Supervisor
-	block int // the second byte of all addresses
-	lock  net.PacketConn
+	block *block.Block // of all addresses
 
 	platform *standin.Platform
 	clients  *standin.Clients
@@ -101,7 +101,8 @@
 }
 
 func (r *run) play(ctx context.Context) error {
-	if err := r.takeBlock(); err != nil {
+	var err error
+	if r.block, err = block.Take(); err != nil {
 		return err
 	}
 	r.sup = proc.NewSupervisor()
@@ -139,21 +140,8 @@
 	return nil
 }
 
-// takeBlock finds a /16 of loopback that no other lab on this machine uses.
-func (r *run) takeBlock() error {
-	for i := range 100 {
-		block := 20 + (os.Getpid()+i)%100
-		pc, err := net.ListenPacket("udp", fmt.Sprintf("127.%d.255.254:9007", block))
-		if err == nil {
-			r.block, r.lock = block, pc
-			return nil
-		}
-	}
-	return errors.New("no block of loopback addresses is free: are a hundred labs running?")
-}
-
 // ip is a node's own address: whatever it meets, it reaches there.
-func (r *run) ip(node int) string { return fmt.Sprintf("127.%d.%d.%d", r.block, node/200, node%200+1) }
+func (r *run) ip(node int) string { return r.block.IP(node/200, node%200+1) }
 
 func (r *run) addr(node, port int) string { return net.JoinHostPort(r.ip(node), strconv.Itoa(port)) }
 
@@ -318,8 +306,8 @@
 	if r.platform != nil {
 		r.platform.Close()
 	}
-	if r.lock != nil {
-		r.lock.Close()
+	if r.block != nil {
+		r.block.Close()
 	}
 }
 
--- a/internal/lab/trial/trial.go
+++ b/internal/lab/trial/trial.go
@@ -19,6 +19,7 @@
 
 	"starlingusher/fleet/catalog"
 	"starlingusher/internal/directory"
+	"starlingusher/internal/lab/block"
 	"starlingusher/internal/lab/proc"
 	"starlingusher/internal/lab/relay"
 	"starlingusher/internal/registry"
@@ -80,6 +81,7 @@
 type trial struct {
 	opts  Options
 	sup   *proc.Supervisor
+	block *block.Block // of all addresses
 	all   []*replica
 	began time.Time
 	r     *rand.Rand // of the timeline alone
@@ -101,7 +103,7 @@
 	t := &trial{opts: opts, sup: proc.NewSupervisor(), r: rand.New(rand.NewPCG(opts.Seed, 1)), told: make([][]Told, watchers)}
 	t.res = Result{Seed: opts.Seed, Ops: map[string]int{}, Problems: []string{}}
 	defer t.close()
-	if err := t.build(); err != nil {
+	if err := t.buildOf(replicas, false); err != nil {
 		return nil, err
 	}
 	err := t.play(ctx)
@@ -128,31 +130,33 @@
 		}
 		r.log.Close()
 	}
+	if t.block != nil {
+		t.block.Close()
+	}
 }
 
-func (t *trial) build() error { return t.buildOf(replicas, false) }
-
 // buildOf makes so many replicas' folders, links and configurations. Everything reaches a replica by its links, unless
 // they are left out.
 func (t *trial) buildOf(count int, direct bool) error {
+	var err error
+	if t.block, err = block.Take(); err != nil {
+		return err
+	}
 	for i := range count {
 		r := &replica{t: t, id: fmt.Sprint("d", i), dir: filepath.Join(t.opts.Dir, fmt.Sprint("d", i))}
 		if err := os.MkdirAll(r.dir, 0o700); err != nil {
 			return err
 		}
-		var err error
 		if r.log, err = os.Create(filepath.Join(r.dir, "log")); err != nil {
 			return err
 		}
 		t.all = append(t.all, r)
 		for n, at := range []*string{&r.http, &r.raft} {
-			if *at, err = freeAddress(); err != nil {
-				return err
-			}
+			*at = fmt.Sprintf("%s:%d", t.block.IP(1, i+1), 8600+n)
 			if direct {
 				continue
 			}
-			if r.links[n], err = relay.Listen("127.0.0.1:0", t.opts.Seed+uint64(10*i+n), relay.To(*at), func(time.Duration) {}); err != nil {
+			if r.links[n], err = relay.Listen(fmt.Sprintf("%s:%d", t.block.IP(2, i+1), 8600+n), t.opts.Seed+uint64(10*i+n), relay.To(*at), func(time.Duration) {}); err != nil {
 				return err
 			}
 			r.links[n].Set(calm)
