Directory: the server's and the replica's files split along their seams

server.go (661 lines) and replica.go (680) were no longer easy to hold in the head: reads, writes, records, notices; leading, membership. No behaviour changes; the package's tests pass.

--- /dev/null
+++ b/internal/directory/lead.go
@@ -0,0 +1,249 @@
+package directory
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/raft"
+
+	"starlingusher/fleet/catalog"
+)
+
+// watchLead runs the leader's work for as long as this replica leads.
+func (r *Replica) watchLead(leads <-chan bool) {
+	var work sync.WaitGroup
+	defer work.Wait()
+	stop := context.CancelFunc(func() {})
+	defer func() { stop() }()
+	for {
+		select {
+		case <-r.ctx.Done():
+			return
+		case on := <-leads:
+			stop()
+			work.Wait()
+			if !on {
+				r.log.Info("no longer the leader")
+				continue
+			}
+			ctx, end := context.WithCancel(r.ctx)
+			stop = end
+			work.Go(func() {
+				defer end()
+				r.lead(ctx)
+			})
+		}
+	}
+}
+
+// lead founds the service if it is new, and then brings about what only time does.
+func (r *Replica) lead(ctx context.Context) {
+	node := r.node()
+	for node.Barrier(proposeWait).Error() != nil {
+		if !pause(ctx, tick) {
+			return
+		}
+	}
+	at, _ := r.ledger.at()
+	for at.history == 0 {
+		if _, err := r.propose(catalog.Command{By: r.cfg.ID, Found: &catalog.Found{Replicas: r.cfg.replicas()}}); err != nil && !pause(ctx, tick) {
+			return
+		}
+		at, _ = r.ledger.at()
+	}
+	r.log.Info("leading", "history", at.history, "revision", at.revision)
+	began := time.Now()
+	r.mu.Lock()
+	r.keeper = catalog.NewKeeper(r.cfg.Lease.Share, r.cfg.Lease.Drain.Duration, r.cfg.Guard.Stand.Duration)
+	r.began = began
+	r.mu.Unlock()
+	defer func() {
+		r.mu.Lock()
+		r.keeper = nil
+		r.mu.Unlock()
+	}()
+	var source sync.WaitGroup
+	defer source.Wait()
+	if r.cfg.Follow.Discovery != "" {
+		source.Go(func() { r.takeOver(ctx) })
+	}
+	for {
+		var due []catalog.Command
+		wait := time.Hour
+		_, news := r.ledger.at()
+		r.mu.Lock()
+		r.ledger.read(func(s *catalog.State) { due, wait = r.keeper.Due(s, time.Since(began)) })
+		r.mu.Unlock()
+		for _, c := range due {
+			if res, err := r.propose(c); err != nil || res.Err != nil {
+				r.log.Warn("what is due could not be done", "err", errors.Join(err, res.Err))
+			}
+		}
+		t := time.NewTimer(max(wait, tick))
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return
+		case <-t.C:
+		case <-news:
+			t.Stop()
+			if !pause(ctx, tick) { // many changes are looked at together
+				return
+			}
+		}
+	}
+}
+
+// pause waits, and tells whether the context is still alive.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// propose has a command agreed on and carried out. Only the leader can; an error is ErrRefused or ErrUnknown. Why a
+// command that was agreed on was not carried out stands in the result.
+func (r *Replica) propose(c catalog.Command) (catalog.Result, error) {
+	node := r.node()
+	if node == nil {
+		return catalog.Result{}, fmt.Errorf("%w: this replica has not begun", ErrRefused)
+	}
+	c.At = time.Now().UnixMilli()
+	raw, err := seal(commandMark, c)
+	if err != nil {
+		return catalog.Result{}, fmt.Errorf("%w: %w", ErrRefused, err)
+	}
+	if len(raw) > maxCommand {
+		return catalog.Result{}, fmt.Errorf("%w: %d bytes, %d at most", ErrRefused, len(raw), maxCommand)
+	}
+	if r.stuck.Load() {
+		return catalog.Result{}, fmt.Errorf("%w: the leader's folder can't be written", ErrRefused)
+	}
+	f := node.Apply(raw, proposeWait)
+	agreed := make(chan error, 1)
+	go func() { agreed <- f.Error() }() // Raft may hang on its disk
+	limit := time.NewTimer(agreeWait)
+	defer limit.Stop()
+	select {
+	case err = <-agreed:
+	case <-limit.C:
+		return catalog.Result{}, fmt.Errorf("%w: nothing was agreed on within %v", ErrUnknown, agreeWait)
+	}
+	switch {
+	case err == nil:
+		res, ok := f.Response().(catalog.Result)
+		if !ok {
+			return res, fmt.Errorf("%w: the state answered %T", ErrUnknown, f.Response())
+		}
+		return res, nil
+	case errors.Is(err, raft.ErrNotLeader), errors.Is(err, raft.ErrEnqueueTimeout), errors.Is(err, raft.ErrLeadershipTransferInProgress):
+		return catalog.Result{}, fmt.Errorf("%w: %w", ErrRefused, err)
+	default: // the leadership was lost, or the log could not be written, with the command on its way
+		return catalog.Result{}, fmt.Errorf("%w: %w", ErrUnknown, err)
+	}
+}
+
+// leader is where the leader is reached; empty if there is none, or none is known.
+func (r *Replica) leader() (id, address string) {
+	node := r.node()
+	if node == nil {
+		return "", ""
+	}
+	_, server := node.LeaderWithID()
+	id = string(server)
+	if id == r.cfg.ID {
+		return id, r.cfg.HTTP
+	}
+	r.ledger.read(func(s *catalog.State) { address = s.Replicas()[id].HTTP })
+	for _, p := range r.cfg.Peers {
+		if p.ID == id && address == "" {
+			address = p.HTTP
+		}
+	}
+	return id, address
+}
+
+func (r *Replica) leads() bool {
+	node := r.node()
+	return node != nil && node.State() == raft.Leader
+}
+
+// settled tells whether this replica leads and has caught up with what was agreed on before it did.
+func (r *Replica) settled() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.keeper != nil
+}
+
+// age is for how long nothing was heard of the leader; 0 at the leader, which hears of a majority within its lease.
+func (r *Replica) age() time.Duration {
+	node := r.node()
+	if node == nil || node.State() == raft.Leader {
+		return 0
+	}
+	last := node.LastContact()
+	if last.IsZero() {
+		last = r.opened
+	}
+	return time.Since(last)
+}
+
+// current makes sure that this replica leads and has carried out all that was agreed on before now.
+func (r *Replica) current() error {
+	node := r.node()
+	if node == nil || node.State() != raft.Leader {
+		return fmt.Errorf("%w: this replica does not lead", ErrRefused)
+	}
+	if err := node.Barrier(proposeWait).Error(); err != nil {
+		return fmt.Errorf("%w: %w", ErrRefused, err)
+	}
+	return nil
+}
+
+// renew notes that endpoints, and holders of records, are there. This replica must still lead, for another leader
+// would not know of it.
+func (r *Replica) renew(ids []string, records []catalog.Hold) (unknown []string, err error) {
+	node := r.node()
+	if node == nil {
+		return nil, ErrRefused
+	}
+	if err := node.VerifyLeader().Error(); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrRefused, err)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.keeper == nil {
+		return nil, fmt.Errorf("%w: this replica does not lead yet", ErrRefused)
+	}
+	now := time.Since(r.began)
+	r.ledger.read(func(s *catalog.State) {
+		for _, id := range ids {
+			if r.keeper.Renew(s, id, now) != nil {
+				unknown = append(unknown, id)
+			}
+		}
+		for _, h := range records {
+			if r.keeper.RenewRecord(s, h.Name, h.Token, now) != nil {
+				unknown = append(unknown, h.Name)
+			}
+		}
+	})
+	return unknown, nil
+}
+
+// registered lets the lease of an endpoint count from now.
+func (r *Replica) registered(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.keeper != nil {
+		r.keeper.Registered(id, time.Since(r.began))
+	}
+}
--- /dev/null
+++ b/internal/directory/reads.go
@@ -0,0 +1,139 @@
+package directory
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"starlingusher/fleet/catalog"
+)
+
+// list serves the whole list and watches.
+func (s *Server) list(w http.ResponseWriter, req *http.Request) {
+	at, _ := s.r.ledger.at()
+	w.Header().Set(HeaderHistory, strconv.FormatInt(at.history, 10))
+	q := req.URL.Query()
+	after, err := number(q.Get("after"), -1)
+	history, err2 := number(q.Get("history"), 0)
+	if err := errors.Join(err, err2); err != nil {
+		s.metrics.asked("bad")
+		wrong(w, http.StatusBadRequest, err)
+		return
+	}
+	if q.Get("fresh") == "1" {
+		if s.passOn(w, req, nil) {
+			return
+		}
+		if err := s.r.current(); err != nil {
+			later(w, time.Second, oneLine(err))
+			return
+		}
+	}
+	after, why := s.reach(req.Context(), after, history)
+	if why != "" {
+		s.metrics.asked("behind")
+		later(w, time.Second, why)
+		return
+	}
+	cost := resumeCost
+	if after <= 0 {
+		cost = 1
+	}
+	if ok, back := s.admits.admit(cost, time.Now()); !ok {
+		s.metrics.asked("refused")
+		// Whole seconds are what the header can say; half of the last one is left to chance.
+		later(w, back+rand.N(time.Second/2), "more asks than this replica takes at once")
+		return
+	}
+	s.metrics.asked("taken")
+	if q.Get("watch") == "1" {
+		s.watch(w, req, after)
+		return
+	}
+	raw, at, _, err := s.r.ledger.list(after)
+	if err != nil {
+		wrong(w, http.StatusInternalServerError, err)
+		return
+	}
+	s.mark(w, at)
+	w.Header().Set("Content-Length", strconv.Itoa(len(raw)))
+	w.Write(raw)
+}
+
+func number(s string, missing int64) (int64, error) {
+	if s == "" {
+		return missing, nil
+	}
+	n, err := strconv.ParseInt(s, 10, 64)
+	if err != nil {
+		return 0, fmt.Errorf("%.40q is not a number", s)
+	}
+	return n, nil
+}
+
+// reach makes sure that this replica knows what the caller does, waiting a moment for it, and tells after which
+// revision the answer begins; or why there is none. What is older than that is never told as news.
+func (s *Server) reach(ctx context.Context, after, history int64) (from int64, why string) {
+	limit := time.NewTimer(catchUp)
+	defer limit.Stop()
+	for {
+		at, news := s.r.ledger.at()
+		switch {
+		case at.revision > 0 && history > 0 && at.history > history:
+			return -1, "" // restored since: another list altogether
+		case at.revision > 0 && at.history >= history && at.revision >= after:
+			return after, ""
+		}
+		select {
+		case <-news:
+			continue
+		case <-ctx.Done():
+		case <-limit.C:
+		}
+		switch {
+		case at.revision == 0:
+			return 0, "nothing has been written to this list yet"
+		case history == 0 && s.beyond(after):
+			return -1, "" // it counts by another history, whose number it does not know
+		}
+		return 0, fmt.Sprintf("this replica is at history %d, revision %d, behind what the caller knows", at.history, at.revision)
+	}
+}
+
+// beyond tells whether nobody can have been told a revision by the present history: the leader does not have it.
+func (s *Server) beyond(after int64) bool {
+	if s.r.leads() {
+		if s.r.current() != nil {
+			return false
+		}
+		at, _ := s.r.ledger.at()
+		return at.revision < after
+	}
+	id, address := s.r.leader()
+	if address == "" || id == s.r.cfg.ID {
+		return false
+	}
+	var st Status
+	err := s.r.ask(http.MethodGet, address, "/directory/status?fresh=1", nil, &st)
+	at, _ := s.r.ledger.at()
+	return err == nil && st.Fresh && st.History == at.history && st.Revision < after
+}
+
+// mark tells what an answer is worth.
+func (s *Server) mark(w http.ResponseWriter, at position) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(HeaderHistory, strconv.FormatInt(at.history, 10))
+	h.Set(HeaderRevision, strconv.FormatInt(at.revision, 10))
+	h.Set(HeaderAge, strconv.FormatInt(s.r.age().Milliseconds(), 10))
+	h.Set("ETag", fmt.Sprintf(`"%d.%d"`, at.history, at.revision))
+	s.r.ledger.read(func(st *catalog.State) {
+		if st.Silent() > 0 {
+			h.Set(HeaderVouched, "no")
+		}
+	})
+}
--- a/internal/directory/reports.go
+++ b/internal/directory/reports.go
@@ -131,3 +131,19 @@
 	}
 	return nil
 }
+
+func (s *Server) report(w http.ResponseWriter, req *http.Request) {
+	raw, ok := body(w, req, maxWrite)
+	if !ok {
+		return
+	}
+	if err := checkReports(raw); err != nil {
+		wrong(w, http.StatusBadRequest, err)
+		return
+	}
+	if err := s.reports.take(req.Context(), raw); err != nil {
+		later(w, time.Second, oneLine(err))
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/internal/directory/writes.go
@@ -0,0 +1,172 @@
+package directory
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"starlingusher/fleet/catalog"
+)
+
+// reader makes a write of a request.
+type reader func(req *http.Request, raw []byte) (catalog.Write, error)
+
+// write serves the requests that change the list.
+func (s *Server) write(read reader) http.HandlerFunc {
+	return func(w http.ResponseWriter, req *http.Request) {
+		raw, ok := body(w, req, maxWrite)
+		if !ok {
+			return
+		}
+		if s.r.cfg.Follow.Discovery != "" {
+			wrong(w, http.StatusConflict, errors.New("this directory follows the platform's discovery; change the list there"))
+			return
+		}
+		match := req.Header.Get("If-Match")
+		if match == "" && req.PathValue("id") != "" && strings.HasPrefix(req.URL.Path, "/registry/registrations/") {
+			match = "*" // who registers speaks for itself alone
+		}
+		if match == "" {
+			wrong(w, http.StatusPreconditionRequired, errors.New(`If-Match is missing: the revision that the write rests on, or "*"`))
+			return
+		}
+		base, err := readBase(match)
+		if err != nil {
+			wrong(w, http.StatusBadRequest, err)
+			return
+		}
+		wr, err := read(req, raw)
+		if errors.Is(err, catalog.ErrUnknown) {
+			wrong(w, http.StatusNotFound, err)
+			return
+		}
+		if err != nil {
+			wrong(w, http.StatusBadRequest, err)
+			return
+		}
+		wr.Base, wr.Guard = base, s.r.cfg.Guard.Share
+		wr.Confirmed = req.URL.Query().Get("confirm") == "1"
+		wr.Why = strings.ToValidUTF8(first(req.Header.Get("Registry-Why"), 1000), "?")
+		s.command(w, req, raw, func() (catalog.Command, error) { return catalog.Command{Write: &wr}, nil })
+		if wr.TTL > 0 && len(wr.Members) > 0 {
+			s.r.registered(wr.Members[0].ID)
+		}
+	}
+}
+
+// readBase reads If-Match: "*", a revision, or a history and a revision with a point between, in quotes or not.
+func readBase(match string) (catalog.Base, error) {
+	match = strings.Trim(strings.TrimSpace(match), `"`)
+	if match == "*" {
+		return catalog.Base{Any: true}, nil
+	}
+	h, rev, both := strings.Cut(match, ".")
+	if !both {
+		h, rev = "0", h
+	}
+	history, err := strconv.ParseInt(h, 10, 64)
+	revision, err2 := strconv.ParseInt(rev, 10, 64)
+	if err != nil || err2 != nil || history < 0 || revision < 0 {
+		return catalog.Base{}, fmt.Errorf("If-Match %.40q is neither * nor REVISION nor HISTORY.REVISION", match)
+	}
+	return catalog.Base{History: history, Revision: revision}, nil
+}
+
+// strict reads one JSON value and nothing else.
+func strict(raw []byte, v any) error {
+	d := json.NewDecoder(bytes.NewReader(raw))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		return fmt.Errorf("body: %w", err)
+	}
+	if _, err := d.Token(); err != io.EOF {
+		return errors.New("body: something stands behind its end")
+	}
+	return nil
+}
+
+func readMembers(raw []byte) ([]catalog.Endpoint, error) {
+	var l struct {
+		Members  *[]catalog.Endpoint `json:"members"`
+		Revision int64               `json:"revision"` // as a list that was read has them
+		Complete bool                `json:"complete"`
+	}
+	if err := strict(raw, &l); err != nil {
+		return nil, err
+	}
+	if l.Members == nil {
+		return nil, errors.New(`body: "members" is missing`)
+	}
+	return *l.Members, check(*l.Members)
+}
+
+func check(all []catalog.Endpoint) error {
+	for _, m := range all {
+		if err := m.Check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func readChanges(_ *http.Request, raw []byte) (catalog.Write, error) {
+	all, err := readMembers(raw)
+	return catalog.Write{Members: all}, err
+}
+
+func readWhole(_ *http.Request, raw []byte) (catalog.Write, error) {
+	all, err := readMembers(raw)
+	return catalog.Write{Members: all, Whole: true}, err
+}
+
+func readOne(req *http.Request, raw []byte) (catalog.Write, error) {
+	var m catalog.Endpoint
+	if err := strict(raw, &m); err != nil {
+		return catalog.Write{}, err
+	}
+	if m.ID != req.PathValue("id") {
+		return catalog.Write{}, fmt.Errorf("the body's id is %.40q, the path's %.40q", m.ID, req.PathValue("id"))
+	}
+	return catalog.Write{Members: []catalog.Endpoint{m}}, m.Check()
+}
+
+func readDelete(req *http.Request, _ []byte) (catalog.Write, error) {
+	m := catalog.Endpoint{ID: req.PathValue("id"), Phase: catalog.Deleted}
+	return catalog.Write{Members: []catalog.Endpoint{m}}, m.Check()
+}
+
+// readDrain drains an endpoint as it stands on the list here.
+func (s *Server) readDrain(req *http.Request, _ []byte) (catalog.Write, error) {
+	var m catalog.Endpoint
+	s.r.ledger.read(func(st *catalog.State) {
+		e, _ := st.Entry(req.PathValue("id"))
+		m = e.Endpoint
+	})
+	if m.ID == "" {
+		return catalog.Write{}, fmt.Errorf("endpoint %.40q is not on the list here: %w", req.PathValue("id"), catalog.ErrUnknown)
+	}
+	m.Phase = catalog.Draining
+	return catalog.Write{Members: []catalog.Endpoint{m}}, nil
+}
+
+func readRegistration(req *http.Request, raw []byte) (catalog.Write, error) {
+	var reg struct {
+		Member catalog.Endpoint `json:"member"`
+		TTL    int64            `json:"ttl_ms"`
+	}
+	if err := strict(raw, &reg); err != nil {
+		return catalog.Write{}, err
+	}
+	if reg.Member.ID != req.PathValue("id") || reg.Member.Phase != catalog.Serving {
+		return catalog.Write{}, fmt.Errorf("the member has the path's id and phase %s", catalog.Serving)
+	}
+	if reg.TTL < catalog.MinTTL || reg.TTL > catalog.MaxTTL {
+		return catalog.Write{}, fmt.Errorf("ttl_ms is %d to %d", int64(catalog.MinTTL), int64(catalog.MaxTTL))
+	}
+	return catalog.Write{Members: []catalog.Endpoint{reg.Member}, TTL: reg.TTL}, reg.Member.Check()
+}
