Registry: what a node knows from elsewhere no longer keeps a directory's list out

Cause: a node begins with the platform's count of revisions; each replica that was tried and failed began the time anew in which a smaller revision is taken for old news, so with one replica dead at the start the list was never taken, and a restarted node sent to an endpoint 1.27 s after its drain. Change: the time begins once, until a list is taken, and a node that follows other addresses than discovery's begins without a count.

--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -23,7 +23,7 @@
 	with := func(addrs ...string) func(*Config) {
 		return func(c *Config) {
 			c.Discovery, c.Fleet.Registry.Addresses, c.Fleet.Registry.KeepKB = dead, addrs, 64
-			c.Known.Members = nil
+			c.Known.Members, c.Known.Revision = nil, 1000 // by the platform's count
 		}
 	}
 	addr, stop := startAltered(t, r, state, with(dead, r.addr()))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -138,6 +138,9 @@
 		log.Warn("a part of the journal can't be read; what it may have been about ends as failed", "part", j.spoilt)
 	}
 	told := registry.Position{Revision: cfg.Known.Revision, From: cfg.Discovery}
+	if !slices.Contains(cfg.Sources(), cfg.Discovery) { // the revisions of what tells the list count something else
+		told = registry.Position{}
+	}
 	kept := openKept(cfg, log)
 	if kept != nil {
 		if l, at, heard, ok := kept.kept.List(); ok {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -74,6 +74,7 @@
 type Track struct {
 	at    Position
 	until time.Time // for so long another server's older revisions are only late
+	left  bool      // the server that told last, by the watch's own choice
 }
 
 // NewTrack begins where the caller is.
@@ -93,6 +94,14 @@
 // Moved says that another server is asked from now on. One that tells no history has some time to catch up.
 func (t *Track) Moved(now time.Time) { t.until = now.Add(catchUpTime) }
 
+// tryNext is Moved for a watch that goes from server to server until one tells it something: that takes no time away.
+func (t *Track) tryNext(now time.Time) {
+	if !t.left {
+		t.left = true
+		t.Moved(now)
+	}
+}
+
 // Take takes a list, or says that it is old news.
 func (t *Track) Take(n News, now time.Time) error {
 	switch {
@@ -107,7 +116,7 @@
 			return fmt.Errorf("%w: %d after %d", ErrBehind, n.Revision, t.at.Revision)
 		}
 	}
-	t.at = n.Position()
+	t.at, t.left = n.Position(), false
 	return nil
 }
 
@@ -198,7 +207,7 @@
 		}
 		if len(w.Addresses) > 1 {
 			n++
-			w.Track.Moved(time.Now())
+			w.Track.tryNext(time.Now())
 		}
 		Sleep(ctx, wait)
 	}
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -214,6 +214,21 @@
 	}
 }
 
+// What a caller knows from elsewhere keeps a list out for a moment only, however many servers are tried meanwhile.
+func TestTryingServersIsNoDelay(t *testing.T) {
+	t.Parallel()
+	tr, now := NewTrack(Position{Revision: 8, From: "platform"}), time.Now()
+	news := News{List: catalog.List{Revision: 1, Complete: true}, History: 5, From: "a"}
+	for range 25 {
+		tr.tryNext(now)
+		if tr.Take(news, now) == nil {
+			return
+		}
+		now = now.Add(100 * time.Millisecond)
+	}
+	t.Errorf("after 2.5 s the list is still taken for an old one")
+}
+
 func TestKeptListComesBack(t *testing.T) {
 	dir := t.TempDir()
 	k, err := OpenKept(dir, 4096)
