Directory: a write before the service is founded is told to come again, not that it conflicts

Cause: between its election and its first command a leader took writes, and the state answered them as a conflict (412), which nobody tries again. Change: an error of its own, 503 with Retry-After. Tests of the state and of the answer.

--- a/fleet/catalog/catalog_test.go
+++ b/fleet/catalog/catalog_test.go
@@ -189,6 +189,7 @@
 }
 
 func TestRestoreBeginsANewHistory(t *testing.T) {
+	refused(t, New(), Command{Write: &Write{Base: Base{Any: true}}}, ErrNew)
 	s := founded(t, 2)
 	image, was := s.Image(), s.History()
 	apply(t, s, Command{Write: &Write{Base: Base{Any: true}, Members: []Endpoint{with(endpoint("e0", 0), Deleted)}}})
--- a/fleet/catalog/state.go
+++ b/fleet/catalog/state.go
@@ -23,6 +23,7 @@
 	ErrTaken    = errors.New("another holds it")
 	ErrBad      = errors.New("not well formed")
 	ErrFull     = errors.New("no room")
+	ErrNew      = errors.New("nothing has been founded yet")
 )
 
 // Base is what a write rests on.
@@ -299,7 +300,7 @@
 	var r Result
 	switch {
 	case s.i.History == 0 && c.Found == nil && c.Restore == nil:
-		r.Err = fmt.Errorf("%w: nothing has been founded", ErrConflict)
+		r.Err = ErrNew
 	case c.Found != nil:
 		r.Err = s.found(*c.Found, c.At)
 	case c.Write != nil:
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -562,6 +562,15 @@
 	eventually(t, "the end of the mark", func() bool { return !silent() })
 }
 
+// Who writes before the service is founded may come again; nothing has gone wrong.
+func TestUnfoundedIsRefused(t *testing.T) {
+	w := &recorder{header: http.Header{}}
+	result(w, catalog.New().Apply(catalog.Command{Write: &catalog.Write{Base: catalog.Base{Any: true}}}), nil)
+	if w.code != http.StatusServiceUnavailable || w.header.Get("Retry-After") == "" {
+		t.Errorf("answered with %d", w.code)
+	}
+}
+
 func TestAdmissionSpreadsReturns(t *testing.T) {
 	a := newAdmission(100, 50)
 	now := time.Unix(1000, 0)
--- a/internal/directory/server.go
+++ b/internal/directory/server.go
@@ -153,6 +153,9 @@
 	case err != nil:
 		later(w, time.Second, oneLine(err))
 		return
+	case errors.Is(res.Err, catalog.ErrNew): // the leader is about to
+		later(w, time.Second, oneLine(res.Err))
+		return
 	case res.Err == nil:
 		answer(w, http.StatusOK, map[string]int64{"revision": res.Revision, "token": res.Token})
 		return
