Node: a notice goes to the next replica soon, not after 2 s of silence

Change: of several addresses each has 100 ms at first, twice that after each round; with one address nothing changes. Test: one that hangs beside one that answers, 20 times with -race.

--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -16,6 +16,9 @@
 const (
 	maxReport     = maxBody         // of one post: the protocol's bodies hold no more
 	reportTimeout = 2 * time.Second // the agent answers at once, so one that does not has gone
+	// Of several that take notices each is given so long at first, for a notice is due within 300 ms of its message's end;
+	// twice that when none of them has answered.
+	firstPatience = 100 * time.Millisecond
 )
 
 // notice tells the platform of the end of a message that was taken on and not delivered.
@@ -43,8 +46,12 @@
 	unanswered []notice, more <-chan []notice, done func([]notice),
 ) []notice {
 	var pause registry.Backoff
-	addr := addrs[0]
-	for failed := 0; ctx.Err() == nil; {
+	patience := reportTimeout
+	if len(addrs) > 1 {
+		patience = firstPatience
+	}
+	wait := patience
+	for at, failed := 0, 0; ctx.Err() == nil; {
 		if len(unanswered) == 0 { // while some are not answered the loop keeps what comes
 			select {
 			case unanswered = <-more:
@@ -52,17 +59,20 @@
 			}
 			continue
 		}
-		n, err := post(ctx, client, addr, unanswered)
+		addr := addrs[at%len(addrs)]
+		n, err := post(ctx, client, addr, wait, unanswered)
 		if err != nil {
 			if ctx.Err() == nil {
 				log.Warn("notices not answered", "discovery", addr, "owed", len(unanswered), "err", err)
-				failed++ // the next one may take them
-				addr = addrs[failed%len(addrs)]
-				registry.Sleep(ctx, pause.Next())
+				at++ // the next one may take them, and telling them again does no harm
+				if failed++; failed%len(addrs) == 0 {
+					wait = min(2*wait, reportTimeout)
+					registry.Sleep(ctx, pause.Next())
+				}
 			}
 			continue
 		}
-		pause = 0
+		pause, failed, wait = 0, 0, patience
 		done(unanswered[:n])
 		unanswered = unanswered[n:]
 	}
@@ -70,8 +80,8 @@
 }
 
 // post sends as many of the notices as one body holds, and tells how many.
-func post(ctx context.Context, client *http.Client, addr string, notices []notice) (int, error) {
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+func post(ctx context.Context, client *http.Client, addr string, wait time.Duration, notices []notice) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	var body bytes.Buffer
 	n := 0
--- a/internal/node/notices_test.go
+++ b/internal/node/notices_test.go
@@ -70,3 +70,23 @@
 		t.Errorf("%d told, %d done, %d left", told, len(done), len(left))
 	}
 }
+
+// A notice is due soon after its message's end, so a replica that says nothing is not waited for while there is another.
+func TestNoticeGoesToTheNextReplica(t *testing.T) {
+	t.Parallel()
+	hung := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, req *http.Request) {
+		io.Copy(io.Discard, req.Body)
+		<-req.Context().Done()
+	}))
+	defer hung.Close()
+	good := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }))
+	defer good.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	began, told := time.Now(), 0
+	left := report(ctx, slog.New(slog.DiscardHandler), http.DefaultClient, []string{hung.Listener.Addr().String(), good.Listener.Addr().String()},
+		[]notice{newNotice(&past{id: "a", ended: &ending{}})}, nil, func(n []notice) { told = len(n); cancel() })
+	if took := time.Since(began); told != 1 || len(left) != 0 || took >= reportTimeout {
+		t.Errorf("%d told, %d left, after %v", told, len(left), took)
+	}
+}
