Catalog: a confirmed write no longer undoes what was written while it was held back

Cause: a write that the guard holds back was carried out as it had come, so a drain of the meantime was undone, also after its set time, when nobody looks. Found by reading. Change: what is written meanwhile is taken out of the write that waits, or goes into a whole list that waits.

--- a/fleet/catalog/catalog_test.go
+++ b/fleet/catalog/catalog_test.go
@@ -103,6 +103,25 @@
 	}
 }
 
+// What was written while a list was held back is not undone when that is confirmed.
+func TestConfirmationUndoesNothing(t *testing.T) {
+	for _, whole := range []bool{true, false} {
+		s := founded(t, 4)
+		w := Write{Base: Base{Any: true}, Whole: whole, Guard: 0.5, Members: []Endpoint{endpoint("e0", 0)}}
+		if !whole {
+			w.Members = []Endpoint{with(endpoint("e1", 0), Deleted), with(endpoint("e2", 0), Deleted), with(endpoint("e3", 0), Deleted)}
+		}
+		held := refused(t, s, Command{Write: &w}, ErrHeld).Held
+		apply(t, s, Command{Write: &Write{Base: Base{Any: true}, Members: []Endpoint{with(endpoint("e0", 0), Draining), with(endpoint("e3", 0), Draining), endpoint("new", 0)}}})
+		apply(t, s, Command{Confirm: &Confirm{Number: held}})
+		got := fmt.Sprint(s.Whole().Members)
+		want := fmt.Sprint([]Endpoint{with(endpoint("e0", 0), Draining), with(endpoint("e3", 0), Draining), endpoint("new", 0)})
+		if got != want {
+			t.Errorf("whole %v: the list is %s", whole, got)
+		}
+	}
+}
+
 func TestLeasesLapseByShare(t *testing.T) {
 	s := founded(t, 0)
 	for i := range 6 {
--- a/fleet/catalog/state.go
+++ b/fleet/catalog/state.go
@@ -435,7 +435,30 @@
 }
 
 func sameMembers(a, b Write) bool {
-	return a.Whole == b.Whole && a.TTL == b.TTL && slices.Equal(a.Members, b.Members)
+	byID := func(x, y Endpoint) int { return cmp.Compare(x.ID, y.ID) }
+	return a.Whole == b.Whole && a.TTL == b.TTL && len(a.Members) == len(b.Members) &&
+		slices.Equal(slices.SortedFunc(slices.Values(a.Members), byID), slices.SortedFunc(slices.Values(b.Members), byID))
+}
+
+// outlast takes what was changed since out of a write that waits, so that its confirmation does not undo it: a whole list
+// gets it, and changes lose what they would have done to the same endpoints.
+func (h *Held) outlast(changed []Endpoint) {
+	at := make(map[string]Endpoint, len(changed))
+	for _, m := range changed {
+		at[m.ID] = m
+	}
+	members := slices.DeleteFunc(slices.Clone(h.Write.Members), func(m Endpoint) bool {
+		_, is := at[m.ID]
+		return is
+	})
+	if h.Write.Whole {
+		for _, m := range changed {
+			if m.Phase != Deleted {
+				members = append(members, m)
+			}
+		}
+	}
+	h.Write.Members = members
 }
 
 // changed is what a write changes, in the order of the IDs.
@@ -525,6 +548,9 @@
 func (s *State) record(changed []Endpoint, c Command, why string) {
 	s.i.Changes = append(s.i.Changes, Change{Revision: s.i.Revision, At: c.At, By: c.By, Why: why, Members: changed})
 	s.mentions += len(changed)
+	if s.i.Held != nil {
+		s.i.Held.outlast(changed)
+	}
 	drop := 0
 	for len(s.i.Changes)-drop > MaxChanges || (s.mentions > MaxMentions && len(s.i.Changes)-drop > 1) {
 		s.mentions -= len(s.i.Changes[drop].Members)
@@ -546,7 +572,6 @@
 	if a.Drop {
 		return nil
 	}
-	h.Write.Base.Any = true // what it rests on was checked when it came; a whole list since would have gone before it
 	return s.commit(s.changed(h.Write), h.Write.TTL, c, h.Write.Why)
 }
 
