--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -361,15 +361,22 @@
 		name  string
 		lists []int // revisions, one a watch; the last one again and again
 		want  []int64
+		count string // the history that both tell
 	}{
-		{"behind, then not", []int{4, 4, 6}, []int64{5, 6}},
-		{"of its own counting", []int{1}, []int64{5, 1}},
+		{"behind, then not", []int{4, 4, 6}, []int64{5, 6}, ""},
+		{"of its own counting", []int{1}, []int64{5, 1}, ""},
+		// One of ours is known to count the same, so it is behind for as long as it takes: the last try is after the time
+		// that others are given.
+		{"a replica that is behind", []int{4, 4, 4, 4, 4, 4, 4, 4, 4, 6}, []int64{5, 6}, "3"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			var watches atomic.Int32
 			serve := func(revision func() int) string {
 				srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+					if c.count != "" {
+						w.Header().Set("Registry-History", c.count)
+					}
 					fmt.Fprintln(w, listOf(revision(), false))
 					w.(http.Flusher).Flush()
 					<-req.Context().Done()
