Settings: one reader of TOML files; the kept list is throttled in one place

The directory and the node each opened a TOML file, forbade unknown names and found the line by themselves, and the node's copy lost the line of a value that can't be: internal/settings.Load now serves both. The kept list was held to one write a second twice, by its Flush and by the loop that calls it; the loop's stands, so the last Flush of a process is never put off. Whether a list is kept is asked in one place.

--- a/internal/directory/config.go
+++ b/internal/directory/config.go
@@ -6,12 +6,10 @@
 	"errors"
 	"fmt"
 	"net"
-	"os"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
-
 	"starlingusher/fleet/catalog"
+	"starlingusher/internal/settings"
 )
 
 // Config is what a replica is told. Its zero values are replaced by Defaults'.
@@ -94,24 +92,9 @@
 
 // LoadConfig reads a file over the defaults. An unknown name or a value that can't be is an error with its line.
 func LoadConfig(path string) (Config, error) {
-	f, err := os.Open(path)
-	if err != nil {
-		return Config{}, fmt.Errorf("configuration: %w", err)
-	}
-	defer f.Close()
 	c := Defaults()
-	if err := toml.NewDecoder(f).DisallowUnknownFields().Decode(&c); err != nil {
-		var strict *toml.StrictMissingError
-		var decode *toml.DecodeError
-		switch {
-		case errors.As(err, &strict) && len(strict.Errors) > 0:
-			row, _ := strict.Errors[0].Position()
-			return c, fmt.Errorf("%s: line %d: there is no setting %v", path, row, strict.Errors[0].Key())
-		case errors.As(err, &decode):
-			row, _ := decode.Position()
-			return c, fmt.Errorf("%s: line %d: %w", path, row, err)
-		}
-		return c, fmt.Errorf("%s: %w", path, err)
+	if err := settings.Load(path, &c); err != nil {
+		return c, fmt.Errorf("configuration: %w", err)
 	}
 	if err := c.Check(); err != nil {
 		return c, fmt.Errorf("%s: %w", path, err)
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -2,19 +2,18 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"net"
-	"os"
 	"sync"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
-
 	"starlingusher/internal/registry"
+	"starlingusher/internal/settings"
 )
 
+const keepEvery = time.Second // the kept list is written no more often
+
 // Fleet says which parts of the fleet product are on, as the file that ROUTER_FLEET names has it. None are without.
 type Fleet struct {
 	Registry struct {
@@ -29,19 +28,9 @@
 	if path == "" {
 		return f, nil
 	}
-	r, err := os.Open(path)
-	if err != nil {
+	if err := settings.Load(path, &f); err != nil {
 		return f, fmt.Errorf("fleet: %w", err)
 	}
-	defer r.Close()
-	if err := toml.NewDecoder(r).DisallowUnknownFields().Decode(&f); err != nil {
-		var strict *toml.StrictMissingError
-		if errors.As(err, &strict) && len(strict.Errors) > 0 {
-			row, _ := strict.Errors[0].Position()
-			return f, fmt.Errorf("fleet: %s: line %d: there is no setting %v", path, row, strict.Errors[0].Key())
-		}
-		return f, fmt.Errorf("fleet: %s: %w", path, err)
-	}
 	for _, a := range f.Registry.Addresses {
 		if _, _, err := net.SplitHostPort(a); err != nil {
 			return f, fmt.Errorf("fleet: %s: registry.addresses: %w", path, err)
@@ -61,15 +50,20 @@
 	return []string{c.Discovery}
 }
 
+// keepsList tells whether the last list is kept in the lasting folder.
+func (c *Config) keepsList() bool {
+	return len(c.Fleet.Registry.Addresses) > 0 && c.Fleet.Registry.KeepKB > 0
+}
+
 // journalMB is what of the lasting folder is the journal's: while the kept list is replaced there are two of it.
 func (c *Config) journalMB() float64 {
+	if !c.keepsList() {
+		return c.Limits.DiskMB
+	}
 	mb := c.Limits.DiskMB
 	if mb <= 0 {
 		mb = defaultDiskMB
 	}
-	if len(c.Fleet.Registry.Addresses) == 0 || c.Fleet.Registry.KeepKB == 0 {
-		return c.Limits.DiskMB
-	}
 	return mb - 2*float64(c.Fleet.Registry.KeepKB)/1024
 }
 
@@ -83,11 +77,10 @@
 
 // openKept reads what the folder keeps; nil if nothing is kept there.
 func openKept(cfg Config, log *slog.Logger) *keptList {
-	f := cfg.Fleet.Registry
-	if len(f.Addresses) == 0 || f.KeepKB == 0 {
+	if !cfg.keepsList() {
 		return nil
 	}
-	kept, err := registry.OpenKept(cfg.State, f.KeepKB<<10)
+	kept, err := registry.OpenKept(cfg.State, cfg.Fleet.Registry.KeepKB<<10)
 	if err != nil {
 		log.Warn("the kept list is lost", "err", err)
 	}
@@ -110,9 +103,9 @@
 func (k *keptList) run(ctx context.Context) {
 	failing := false
 	for more := true; more; {
-		more = registry.Sleep(ctx, time.Second)
+		more = registry.Sleep(ctx, keepEvery)
 		k.mu.Lock()
-		_, err := k.kept.Flush(time.Now())
+		err := k.kept.Flush()
 		k.mu.Unlock()
 		if err != nil && !failing {
 			k.log.Warn("the list can't be kept", "err", err)
--- a/internal/registry/kept.go
+++ b/internal/registry/kept.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -13,10 +14,7 @@
 	"starlingusher/fleet/catalog"
 )
 
-const (
-	keptName  = "list.json"
-	keptEvery = time.Second // written no more often
-)
+const keptName = "list.json"
 
 // Kept is the last list in a folder that lasts, for a process that starts while no service can be reached. It is
 // not safe for use by several goroutines at once.
@@ -27,7 +25,6 @@
 	members map[string]catalog.Endpoint
 	at      Position
 	heard   time.Time
-	written time.Time
 	due     bool
 }
 
@@ -74,12 +71,7 @@
 	for _, m := range k.members {
 		l.Members = append(l.Members, m)
 	}
-	slices.SortFunc(l.Members, func(a, b catalog.Endpoint) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(l.Members, func(a, b catalog.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
 	return l, k.at, k.heard, !k.heard.IsZero()
 }
 
@@ -103,34 +95,29 @@
 	}
 }
 
-// Flush writes the file if something has changed, at most once a second, and returns when it wants to be called again; 0
-// if there is nothing to write. The file is whole at any time. What can't be written stays due.
-func (k *Kept) Flush(now time.Time) (again time.Duration, err error) {
+// Flush writes the file if there is something new. The file is whole at any time. What can't be written stays due; what is
+// too large does not.
+func (k *Kept) Flush() error {
 	if !k.due {
-		return 0, nil
-	}
-	if wait := keptEvery - now.Sub(k.written); wait > 0 {
-		return wait, nil
+		return nil
 	}
-	k.written = now
 	l, at, heard, _ := k.List()
 	raw, err := json.Marshal(keptFile{heard, at.History, at.Revision, at.From, l.Members})
 	if err != nil {
-		return keptEvery, fmt.Errorf("kept list: %w", err)
+		return fmt.Errorf("kept list: %w", err)
 	}
 	if int64(len(raw)) > k.most {
 		k.due = false
-		return 0, fmt.Errorf("kept list: %d bytes, %d at most; the older one stays", len(raw), k.most)
+		return fmt.Errorf("kept list: %d bytes, %d at most; the older one stays", len(raw), k.most)
 	}
 	next := k.path + ".new"
-	if err := os.WriteFile(next, raw, 0o600); err != nil {
-		os.Remove(next)
-		return keptEvery, fmt.Errorf("kept list: %w", err)
+	if err = os.WriteFile(next, raw, 0o600); err == nil {
+		err = os.Rename(next, k.path)
 	}
-	if err := os.Rename(next, k.path); err != nil {
+	if err != nil {
 		os.Remove(next)
-		return keptEvery, fmt.Errorf("kept list: %w", err)
+		return fmt.Errorf("kept list: %w", err)
 	}
 	k.due = false
-	return 0, nil
+	return nil
 }
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -244,7 +244,7 @@
 	}
 	k.Take(News{List: catalog.List{Revision: 4, Complete: true, Members: []catalog.Endpoint{one("a", catalog.Serving), one("b", catalog.Serving)}}, History: 2, From: "x"}, at)
 	k.Take(News{List: catalog.List{Revision: 5, Members: []catalog.Endpoint{one("a", catalog.Deleted), one("b", catalog.Draining)}}, History: 2, From: "x"}, at)
-	if _, err := k.Flush(at); err != nil {
+	if err := k.Flush(); err != nil {
 		t.Fatal(err)
 	}
 	back, err := OpenKept(dir, 4096)
@@ -259,7 +259,7 @@
 	for i := range 100 {
 		back.Take(News{List: catalog.List{Revision: 6, Members: []catalog.Endpoint{one(fmt.Sprint("c", i), catalog.Serving)}}, History: 2}, at)
 	}
-	if _, err := back.Flush(at.Add(time.Minute)); err == nil {
+	if err := back.Flush(); err == nil {
 		t.Error("a list beyond the bound was kept")
 	}
 	if again, _ := OpenKept(dir, 4096); again.at.Revision != 5 {
