Catalog: one way to make a revision of a change

commit and lapse each counted the revision, set or deleted the entries and recorded the change; State.turn does it for both. Size counts the list without sorting it. Behaviour as before; the state's tests and properties pass.

--- a/fleet/catalog/state.go
+++ b/fleet/catalog/state.go
@@ -249,6 +249,9 @@
 	return e, ok
 }
 
+// Size is how many endpoints are on the list.
+func (s *State) Size() int { return len(s.i.Entries) }
+
 // Entries are the endpoints, in the order of their IDs.
 func (s *State) Entries() []Entry {
 	return slices.SortedFunc(maps.Values(s.i.Entries), func(a, b Entry) int { return cmp.Compare(a.ID, b.ID) })
@@ -525,27 +528,31 @@
 	if len(s.i.Entries)+fresh > MaxMembers {
 		return fmt.Errorf("%w: the list holds %d endpoints at most", ErrFull, MaxMembers)
 	}
+	s.turn(changed, c, why, func(e *Entry) {
+		e.Lapsed = false
+		if ttl == 0 { // who writes by hand does not end a lease
+			e.ByHand = e.Phase == Draining
+		} else {
+			e.TTL = ttl
+		}
+	})
+	return nil
+}
+
+// turn makes a revision of what has changed, with what else becomes of each entry that stays, and keeps it among the
+// changes, of which it lets go of the oldest beyond the bounds.
+func (s *State) turn(changed []Endpoint, c Command, why string, also func(*Entry)) {
 	s.i.Revision++
 	for _, m := range changed {
 		if m.Phase == Deleted {
 			delete(s.i.Entries, m.ID)
 			continue
 		}
-		old := s.i.Entries[m.ID]
-		e := Entry{Endpoint: m, Revision: s.i.Revision, TTL: ttl, ByHand: m.Phase == Draining}
-		if ttl == 0 { // who writes by hand does not end a lease
-			e.TTL = old.TTL
-		} else {
-			e.ByHand = old.ByHand
-		}
+		e := s.i.Entries[m.ID]
+		e.Endpoint, e.Revision = m, s.i.Revision
+		also(&e)
 		s.i.Entries[m.ID] = e
 	}
-	s.record(changed, c, why)
-	return nil
-}
-
-// record keeps a change, and lets go of the oldest beyond the bounds.
-func (s *State) record(changed []Endpoint, c Command, why string) {
 	s.i.Changes = append(s.i.Changes, Change{Revision: s.i.Revision, At: c.At, By: c.By, Why: why, Members: changed})
 	s.mentions += len(changed)
 	if s.i.Held != nil {
@@ -614,17 +621,7 @@
 // lapse carries that out, and frees records whose holders did not renew.
 func (s *State) lapse(l Lapse, c Command) {
 	if changed := s.lapses(l); len(changed) > 0 {
-		s.i.Revision++
-		for _, m := range changed {
-			if m.Phase == Deleted {
-				delete(s.i.Entries, m.ID)
-				continue
-			}
-			e := s.i.Entries[m.ID]
-			e.Endpoint, e.Revision, e.Lapsed = m, s.i.Revision, true
-			s.i.Entries[m.ID] = e
-		}
-		s.record(changed, c, "leases ran out")
+		s.turn(changed, c, "leases ran out", func(e *Entry) { e.Lapsed = true })
 	}
 	for _, h := range l.Records {
 		if r, ok := s.i.Records[h.Name]; ok && r.Token == h.Token && r.TTL > 0 && r.Holder != "" {
