Directory: fresh asks, bodies for the leader, pauses and sizes each in one piece

Three handlers made sure of the leader in the same ten lines (elsewhere now does), two read a body for it alike (leaderReads), pause was registry.Sleep written again, history's answer was the operators' Changes again, and each status sorted the whole list to count it.

--- a/internal/directory/admin.go
+++ b/internal/directory/admin.go
@@ -59,7 +59,7 @@
 	}
 	st.Leader, _ = r.leader()
 	r.ledger.read(func(c *catalog.State) {
-		st.History, st.Revision, st.Endpoints, st.SilentMS = c.History(), c.Revision(), len(c.Entries()), c.Silent()
+		st.History, st.Revision, st.Endpoints, st.SilentMS = c.History(), c.Revision(), c.Size(), c.Silent()
 		if h := c.Held(); h != nil {
 			held := *h
 			st.Held = &held
@@ -84,12 +84,7 @@
 		wrong(w, http.StatusBadRequest, err)
 		return
 	}
-	var out struct {
-		History  int64            `json:"history"`
-		Revision int64            `json:"revision"`
-		All      bool             `json:"all"` // nothing older was left out for its age
-		Changes  []catalog.Change `json:"changes"`
-	}
+	var out Changes
 	s.r.ledger.read(func(c *catalog.State) {
 		out.History, out.Revision = c.History(), c.Revision()
 		if after < 0 { // the last ones
@@ -103,14 +98,8 @@
 
 // backup hands out the state, as of now if the caller wants that, else as this replica has it.
 func (s *Server) backup(w http.ResponseWriter, req *http.Request) {
-	if req.URL.Query().Get("fresh") == "1" {
-		if s.passOn(w, req, nil) {
-			return
-		}
-		if err := s.r.current(); err != nil {
-			later(w, time.Second, oneLine(err))
-			return
-		}
+	if s.elsewhere(w, req) {
+		return
 	}
 	var image catalog.Image
 	s.r.ledger.read(func(c *catalog.State) { image = c.Image() })
@@ -150,13 +139,8 @@
 }
 
 func (s *Server) join(w http.ResponseWriter, req *http.Request) {
-	raw, ok := body(w, req, maxWrite)
-	if !ok || s.passOn(w, req, raw) {
-		return
-	}
 	var ask joinAsk
-	if err := strict(raw, &ask); err != nil {
-		wrong(w, http.StatusBadRequest, err)
+	if !s.leaderReads(w, req, &ask) {
 		return
 	}
 	reply, err := s.r.join(ask)
--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -34,7 +34,7 @@
 	var marks sync.WaitGroup
 	defer marks.Wait()
 	marks.Go(func() {
-		for pause(ctx, tick) {
+		for registry.Sleep(ctx, tick) {
 			mu.Lock()
 			silent := time.Since(heard) > sourceSilence
 			mu.Unlock()
@@ -44,7 +44,7 @@
 				r.log.Warn("the source of the list", "discovery", r.cfg.Follow.Discovery, "silent", silent)
 				if _, err := r.propose(catalog.Command{By: r.cfg.ID, Vouch: &catalog.Vouch{Silent: silent}}); err != nil {
 					r.log.Warn("the mark could not be agreed on", "err", err)
-					pause(ctx, time.Second)
+					registry.Sleep(ctx, time.Second)
 				}
 			}
 		}
--- a/internal/directory/lead.go
+++ b/internal/directory/lead.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/raft"
 
 	"starlingusher/fleet/catalog"
+	"starlingusher/internal/registry"
 )
 
 // watchLead runs the leader's work for as long as this replica leads.
@@ -43,13 +44,13 @@
 func (r *Replica) lead(ctx context.Context) {
 	node := r.node()
 	for node.Barrier(proposeWait).Error() != nil {
-		if !pause(ctx, tick) {
+		if !registry.Sleep(ctx, tick) {
 			return
 		}
 	}
 	at, _ := r.ledger.at()
 	for at.history == 0 {
-		if _, err := r.propose(catalog.Command{By: r.cfg.ID, Found: &catalog.Found{Replicas: r.cfg.replicas()}}); err != nil && !pause(ctx, tick) {
+		if _, err := r.propose(catalog.Command{By: r.cfg.ID, Found: &catalog.Found{Replicas: r.cfg.replicas()}}); err != nil && !registry.Sleep(ctx, tick) {
 			return
 		}
 		at, _ = r.ledger.at()
@@ -90,25 +91,13 @@
 		case <-t.C:
 		case <-news:
 			t.Stop()
-			if !pause(ctx, tick) { // many changes are looked at together
+			if !registry.Sleep(ctx, tick) { // many changes are looked at together
 				return
 			}
 		}
 	}
 }
 
-// pause waits, and tells whether the context is still alive.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // propose has a command agreed on and carried out. Only the leader can; an error is ErrRefused or ErrUnknown. Why a
 // command that was agreed on was not carried out stands in the result.
 func (r *Replica) propose(c catalog.Command) (catalog.Result, error) {
--- a/internal/directory/members.go
+++ b/internal/directory/members.go
@@ -13,6 +13,7 @@
 	"github.com/hashicorp/raft"
 
 	"starlingusher/fleet/catalog"
+	"starlingusher/internal/registry"
 )
 
 // findPlace asks the other replicas what there is, until it is known whether this one founds the service. One that
@@ -51,7 +52,7 @@
 		if !told {
 			r.log.Warn("waiting for the other replicas", "new", unfounded, "of", len(r.cfg.Peers))
 		}
-		if !pause(r.ctx, askPeers) {
+		if !registry.Sleep(r.ctx, askPeers) {
 			return false, r.ctx.Err()
 		}
 	}
@@ -60,7 +61,7 @@
 // stay asks to be a part of the service until the leader says that this replica has a vote: what it has itself may be
 // a configuration of before it was taken out.
 func (r *Replica) stay() {
-	for pause(r.ctx, askPeers) {
+	for registry.Sleep(r.ctx, askPeers) {
 		for _, p := range r.cfg.Peers {
 			var joined joinReply
 			err := r.ask(http.MethodPost, p.HTTP, "/directory/join", joinAsk{Replica: r.self(), Applied: r.node().AppliedIndex()}, &joined)
--- a/internal/directory/operator.go
+++ b/internal/directory/operator.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"starlingusher/fleet/catalog"
+	"starlingusher/internal/registry"
 )
 
 // Operator asks the service on somebody's behalf: of whatever replica answers.
@@ -79,7 +80,7 @@
 			errs = append(errs, fmt.Errorf("%s: %w", address, err))
 			o.preferred++
 		}
-		if time.Now().After(until) || !pause(ctx, operatorPause) {
+		if time.Now().After(until) || !registry.Sleep(ctx, operatorPause) {
 			return nil, nil, errors.Join(errs...)
 		}
 	}
@@ -200,7 +201,7 @@
 type Changes struct {
 	History  int64            `json:"history"`
 	Revision int64            `json:"revision"`
-	All      bool             `json:"all"`
+	All      bool             `json:"all"` // nothing older was left out for its age
 	Changes  []catalog.Change `json:"changes"`
 }
 
--- a/internal/directory/reads.go
+++ b/internal/directory/reads.go
@@ -24,14 +24,8 @@
 		wrong(w, http.StatusBadRequest, err)
 		return
 	}
-	if q.Get("fresh") == "1" {
-		if s.passOn(w, req, nil) {
-			return
-		}
-		if err := s.r.current(); err != nil {
-			later(w, time.Second, oneLine(err))
-			return
-		}
+	if s.elsewhere(w, req) {
+		return
 	}
 	after, why := s.reach(req.Context(), after, history)
 	if why != "" {
@@ -64,6 +58,22 @@
 	w.Write(raw)
 }
 
+// elsewhere answers an ask for what is fresh, if this replica does not lead: the leader does, or nobody can tell. At the
+// leader it returns once all that was agreed on before is in the state.
+func (s *Server) elsewhere(w http.ResponseWriter, req *http.Request) bool {
+	if req.URL.Query().Get("fresh") != "1" {
+		return false
+	}
+	if s.passOn(w, req, nil) {
+		return true
+	}
+	if err := s.r.current(); err != nil {
+		later(w, time.Second, oneLine(err))
+		return true
+	}
+	return false
+}
+
 func number(s string, missing int64) (int64, error) {
 	if s == "" {
 		return missing, nil
--- a/internal/directory/records.go
+++ b/internal/directory/records.go
@@ -9,14 +9,8 @@
 )
 
 func (s *Server) records(w http.ResponseWriter, req *http.Request) {
-	if req.URL.Query().Get("fresh") == "1" {
-		if s.passOn(w, req, nil) {
-			return
-		}
-		if err := s.r.current(); err != nil {
-			later(w, time.Second, oneLine(err))
-			return
-		}
+	if s.elsewhere(w, req) {
+		return
 	}
 	name := req.PathValue("name")
 	var all []catalog.Record
@@ -78,10 +72,6 @@
 }
 
 func (s *Server) renew(w http.ResponseWriter, req *http.Request) {
-	raw, ok := body(w, req, maxWrite)
-	if !ok || s.passOn(w, req, raw) {
-		return
-	}
 	var ask struct {
 		IDs     []string `json:"ids"`
 		Records []struct {
@@ -89,8 +79,7 @@
 			Token int64  `json:"token"`
 		} `json:"records"`
 	}
-	if err := strict(raw, &ask); err != nil {
-		wrong(w, http.StatusBadRequest, err)
+	if !s.leaderReads(w, req, &ask) {
 		return
 	}
 	var records []catalog.Hold
--- a/internal/directory/server.go
+++ b/internal/directory/server.go
@@ -242,6 +242,19 @@
 	return raw, err == nil
 }
 
+// leaderReads reads a body at the leader, or answers: elsewhere by passing it on, here for what can't be read.
+func (s *Server) leaderReads(w http.ResponseWriter, req *http.Request, into any) bool {
+	raw, ok := body(w, req, maxWrite)
+	if !ok || s.passOn(w, req, raw) {
+		return false
+	}
+	if err := strict(raw, into); err != nil {
+		wrong(w, http.StatusBadRequest, err)
+		return false
+	}
+	return true
+}
+
 // command passes a command on to the leader, or has it agreed on here and answers.
 func (s *Server) command(w http.ResponseWriter, req *http.Request, raw []byte, make func() (catalog.Command, error)) {
 	begun := time.Now()
--- a/internal/directory/watch.go
+++ b/internal/directory/watch.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"starlingusher/internal/registry"
 )
 
 const (
@@ -55,7 +57,7 @@
 
 // sweep cuts the watches that are too far behind: their writes hang, and what they have not read is not kept for them.
 func (w *watches) sweep(ctx context.Context, s *Server) {
-	for pause(ctx, sweepEvery) {
+	for registry.Sleep(ctx, sweepEvery) {
 		oldest := s.r.ledger.oldest()
 		w.mu.Lock()
 		for one := range w.all {
