Lab's commands: one table of fault kinds, one choice of folder and seed

FaultKinds and targets were two maps with the same keys; lab run and lab directory chose seed and folder in the same lines. Output as before; scripts and the experiments' tests pass.

--- a/cmd/cottonrack/lab.go
+++ b/cmd/cottonrack/lab.go
@@ -60,18 +60,12 @@
 	if c.Nodes < 0 || c.Runs < 1 {
 		return wrongUse{errors.New("--nodes is 0 or more, --runs is 1 or more")}
 	}
-	seed := c.Seed
-	if seed == 0 {
-		seed = rand.Uint64N(1e9) + 1
-	}
+	seed := seedOr(c.Seed)
 	bad := 0
 	var all []*lab.Result
 	for i := range c.Runs {
-		out := c.Out
-		if out != "" && c.Runs > 1 {
-			out = filepath.Join(out, fmt.Sprint(seed+uint64(i)))
-		}
-		res, err := a.play(f.Draw(seed+uint64(i), c.Nodes), command, out)
+		s := seed + uint64(i)
+		res, err := a.play(f.Draw(s, c.Nodes), command, folderOf(c.Out, c.Runs, s))
 		if err != nil {
 			return err
 		}
@@ -111,13 +105,8 @@
 
 // play plays a plan into a folder; into one that goes again if out is empty and all was kept.
 func (a *app) play(plan experiment.Plan, command []string, out string) (*lab.Result, error) {
-	dir, passing := out, out == ""
-	if passing {
-		var err error
-		if dir, err = os.MkdirTemp("", "cottonrack-"); err != nil {
-			return nil, fmt.Errorf("results: %w", err)
-		}
-	} else if err := emptyFolder(dir); err != nil {
+	dir, passing, err := resultsFolder(out)
+	if err != nil {
 		return nil, err
 	}
 	show, done := a.progress(plan.Name, plan.Seed, len(plan.Nodes))
@@ -140,6 +129,33 @@
 	return res, nil
 }
 
+// resultsFolder makes the folder of a run's results: the one that was asked for, or one that goes again if all was kept.
+func resultsFolder(out string) (dir string, passing bool, err error) {
+	if out != "" {
+		return out, false, emptyFolder(out)
+	}
+	if dir, err = os.MkdirTemp("", "cottonrack-"); err != nil {
+		return "", true, fmt.Errorf("results: %w", err)
+	}
+	return dir, true, nil
+}
+
+// folderOf is the folder of one seed's results among several runs'.
+func folderOf(out string, runs int, seed uint64) string {
+	if out == "" || runs == 1 {
+		return out
+	}
+	return filepath.Join(out, fmt.Sprint(seed))
+}
+
+// seedOr is a seed that was asked for, or any.
+func seedOr(seed uint64) uint64 {
+	if seed == 0 {
+		return rand.Uint64N(1e9) + 1
+	}
+	return seed
+}
+
 // emptyFolder makes a folder, or makes sure that nothing in it would be lost.
 func emptyFolder(dir string) error {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
@@ -276,11 +292,15 @@
 // Run lists the kinds of faults.
 func (labKindsCmd) Run(a *app) error {
 	if a.asJSON {
-		return printJSON(a.out, experiment.FaultKinds)
+		about := map[string]string{}
+		for name, k := range experiment.FaultKinds {
+			about[name] = k.About
+		}
+		return printJSON(a.out, about)
 	}
 	t := tabwriter.NewWriter(a.out, 2, 0, 2, ' ', 0)
 	for _, k := range slices.Sorted(maps.Keys(experiment.FaultKinds)) {
-		fmt.Fprintf(t, "%s\t%s\n", k, experiment.FaultKinds[k])
+		fmt.Fprintf(t, "%s\t%s\n", k, experiment.FaultKinds[k].About)
 	}
 	return t.Flush()
 }
@@ -340,10 +360,7 @@
 			return err
 		}
 	}
-	seed := c.Seed
-	if seed == 0 {
-		seed = rand.Uint64N(1e9) + 1
-	}
+	seed := seedOr(c.Seed)
 	cmp := lab.Comparison{A: c.A, B: c.B}
 	for i := range c.Runs {
 		var pair [2]*lab.Result
--- a/cmd/cottonrack/trial.go
+++ b/cmd/cottonrack/trial.go
@@ -4,9 +4,7 @@
 	"errors"
 	"fmt"
 	"maps"
-	"math/rand/v2"
 	"os"
-	"path/filepath"
 	"slices"
 	"time"
 
@@ -31,26 +29,14 @@
 	if err != nil {
 		return err
 	}
-	seed := c.Seed
-	if seed == 0 {
-		seed = rand.Uint64N(1e9) + 1
-	}
+	seed := seedOr(c.Seed)
 	bad := 0
 	var all []*trial.Result
 	for i := range c.Runs {
 		s := seed + uint64(i)
-		dir, passing := c.Out, c.Out == ""
-		if passing {
-			if dir, err = os.MkdirTemp("", "cottonrack-"); err != nil {
-				return fmt.Errorf("results: %w", err)
-			}
-		} else {
-			if c.Runs > 1 {
-				dir = filepath.Join(dir, fmt.Sprint(s))
-			}
-			if err := emptyFolder(dir); err != nil {
-				return err
-			}
+		dir, passing, err := resultsFolder(folderOf(c.Out, c.Runs, s))
+		if err != nil {
+			return err
 		}
 		res, err := trial.Run(a.ctx, trial.Options{
 			Command: []string{self, "--log-level", "info", "directory", "serve"}, Dir: dir, Seed: s, Length: c.Length, Only: c.Only, Stale: c.Stale, Log: a.log,
--- a/fleet/experiment/check.go
+++ b/fleet/experiment/check.go
@@ -219,7 +219,8 @@
 }
 
 func (f *File) checkFault(x Fault, bad func(name, text string, args ...any)) {
-	aim, known := targets[x.Kind]
+	kind, known := FaultKinds[x.Kind]
+	aim := kind.aim
 	if !known {
 		bad("kind", "no fault is of kind %q: `cottonrack lab kinds` lists them", x.Kind)
 		return
--- a/fleet/experiment/plan.go
+++ b/fleet/experiment/plan.go
@@ -405,7 +405,7 @@
 		step := x.Step.draw(r)
 		partners, nodes := d.aimPartners(r, x, p), d.aimNodes(r, x, p)
 		var replicas []int
-		if targets[x.Kind]&atReplicas != 0 {
+		if FaultKinds[x.Kind].aim&atReplicas != 0 {
 			replicas = r.Perm(p.Replicas)
 		}
 		if step == 0 {
@@ -414,7 +414,7 @@
 			continue
 		}
 		// One target after another. Only one sort of them steps; the other is the same each time.
-		stepNodes := targets[x.Kind]&atNodes != 0
+		stepNodes := FaultKinds[x.Kind].aim&atNodes != 0
 		steps := len(partners)
 		if stepNodes {
 			steps = len(nodes)
@@ -445,7 +445,7 @@
 func (d drawer) aimPartners(r *rand.Rand, x Fault, p *Plan) []int {
 	order := r.Perm(len(p.Partners))
 	switch {
-	case targets[x.Kind]&atPartners == 0:
+	case FaultKinds[x.Kind].aim&atPartners == 0:
 		return nil
 	case x.Partners != nil:
 		return x.Partners
@@ -463,7 +463,7 @@
 func (d drawer) aimNodes(r *rand.Rand, x Fault, p *Plan) []int {
 	order := r.Perm(len(p.Nodes))
 	switch {
-	case targets[x.Kind]&atNodes == 0:
+	case FaultKinds[x.Kind].aim&atNodes == 0:
 		return nil
 	case x.Nodes != nil:
 		return slices.DeleteFunc(slices.Clone(x.Nodes), func(n int) bool { return n >= len(p.Nodes) })
