Lab: one piece runs the directory's replicas, for experiments and for trials

Both wrote the same settings, links, starts and ends: internal/lab/replica does it for them. The stand-in's Member and List were the catalog's Endpoint and List with the same fields, copied one by one: they are those now.

--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -21,6 +21,7 @@
 	"starlingusher/internal/lab/block"
 	"starlingusher/internal/lab/observe"
 	"starlingusher/internal/lab/proc"
+	"starlingusher/internal/lab/replica"
 	"starlingusher/internal/lab/standin"
 )
 
@@ -67,9 +68,9 @@
 	clients  *standin.Clients
 	partners []*standin.Partner
 	nodes    []*node
-	replicas []*replica        // of the directory, if there is one
-	windows  []*standin.Window // the nodes' on them
-	wg       sync.WaitGroup    // what the timeline has set going
+	replicas []*replica.Replica // of the directory, if there is one
+	windows  []*standin.Window  // the nodes' on them
+	wg       sync.WaitGroup     // what the timeline has set going
 
 	mu        sync.Mutex
 	endpoints int // so many were ever made
--- a/internal/lab/standin/platform.go
+++ b/internal/lab/standin/platform.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"starlingusher/fleet/catalog"
 	"starlingusher/fleet/history"
 	"starlingusher/internal/lab/observe"
 )
@@ -25,24 +26,11 @@
 	oldAgent     = 1500 * time.Millisecond // for which an old address keeps its connections
 )
 
-// Member is an endpoint in discovery's list.
-type Member struct {
-	ID       string  `json:"id"`
-	Addr     string  `json:"host_port"`
-	Locality string  `json:"locality"`
-	Flavor   string  `json:"flavor"`
-	Cell     int     `json:"cell"`
-	Phase    string  `json:"phase"`
-	Size     float64 `json:"size"`
-	UpSince  int64   `json:"up_since_ms"`
-}
-
-// List is discovery's list, whole or as changes.
-type List struct {
-	Revision int64    `json:"revision"`
-	Complete bool     `json:"complete"`
-	Members  []Member `json:"members"`
-}
+// Member and List are discovery's forms.
+type (
+	Member = catalog.Endpoint
+	List   = catalog.List
+)
 
 type change struct {
 	at       time.Duration
--- a/internal/lab/trial/size.go
+++ b/internal/lab/trial/size.go
@@ -27,6 +27,7 @@
 	"starlingusher/internal/directory"
 	"starlingusher/internal/lab/observe"
 	"starlingusher/internal/lab/proc"
+	"starlingusher/internal/lab/replica"
 	"starlingusher/internal/lab/standin"
 	"starlingusher/internal/registry"
 )
@@ -117,8 +118,7 @@
 	defer p.Close()
 	at := func(n int) func(int) string { return func(int) string { return numbered(n, 0).Addr } }
 	put := func(n int, stamp int64, first bool) {
-		e := numbered(n, stamp)
-		p.Put(standin.Member{ID: e.ID, Locality: e.Locality, Flavor: e.Flavor, Cell: e.Cell, Phase: e.Phase, Size: e.Size, UpSince: e.UpSince}, at(n), first)
+		p.Put(numbered(n, stamp), at(n), first)
 	}
 	for n := range endpoints {
 		put(n, 0, true)
@@ -383,7 +383,7 @@
 	}
 }
 
-// plainTrial is a service without faults, reached as in a trial.
+// service starts so many replicas without links, as a trial does with them.
 func (o SizeOptions) service(ctx context.Context, n int, dir string) (*trial, error) {
 	t := &trial{opts: Options{Command: []string{o.Self, "directory", "serve"}, Dir: dir, Seed: 1, Log: slog.New(slog.DiscardHandler)},
 		sup: proc.NewSupervisor(), r: rand.New(rand.NewPCG(1, 1))}
@@ -392,7 +392,7 @@
 		return nil, err
 	}
 	for _, r := range t.all {
-		if err := r.start(); err != nil {
+		if err := r.Start(); err != nil {
 			t.close()
 			return nil, err
 		}
@@ -423,7 +423,7 @@
 		parts.Go(func() {
 			client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
 			defer client.CloseIdleConnections()
-			op := &directory.Operator{Addresses: []string{lead.http}, Client: client}
+			op := &directory.Operator{Addresses: []string{lead.Own(replica.HTTP)}, Client: client}
 			for i := int64(1); time.Since(begin) < o.Length && ctx.Err() == nil; i++ {
 				at := time.Now()
 				if _, err := op.Put(ctx, []catalog.Endpoint{numbered(w, i)}, false, false, "*"); err == nil {
@@ -453,12 +453,12 @@
 	defer t.close()
 	var addresses []string
 	for _, r := range t.all {
-		addresses = append(addresses, r.http)
+		addresses = append(addresses, r.Own(replica.HTTP))
 	}
 	op := &directory.Operator{Addresses: addresses, Client: &http.Client{Timeout: opWait, Transport: &http.Transport{DisableKeepAlives: true}}}
 	for i := range o.Kills {
 		lead := t.leader(ctx)
-		lead.p.Signal(syscall.SIGKILL)
+		lead.Process().Signal(syscall.SIGKILL)
 		at := time.Now()
 		for n := int64(1); ; n++ {
 			if _, err := op.Put(ctx, []catalog.Endpoint{numbered(i, time.Now().UnixMicro())}, false, false, "*"); err == nil {
@@ -469,8 +469,8 @@
 			}
 		}
 		s.FailOver = append(s.FailOver, time.Since(at))
-		<-lead.p.Done()
-		if err := lead.start(); err != nil {
+		<-lead.Process().Done()
+		if err := lead.Start(); err != nil {
 			return err
 		}
 		if err := await(ctx, "three votes", func() bool { return t.voters(ctx, replicas) }); err != nil {
--- a/internal/lab/trial/trial.go
+++ b/internal/lab/trial/trial.go
@@ -22,6 +22,7 @@
 	"starlingusher/internal/lab/block"
 	"starlingusher/internal/lab/proc"
 	"starlingusher/internal/lab/relay"
+	"starlingusher/internal/lab/replica"
 	"starlingusher/internal/registry"
 )
 
@@ -63,18 +64,6 @@
 	Problems []string      `json:"problems"`
 }
 
-// replica is one process of the service, behind its links.
-type replica struct {
-	t          *trial
-	id, dir    string
-	http, raft string         // where it listens
-	links      [2]*relay.Link // http, raft
-	log        *os.File
-
-	mu sync.Mutex
-	p  *proc.Process
-}
-
 // calm is the weather of a link without a fault.
 var calm = relay.Weather{Delay: 200 * time.Microsecond, Jitter: 1}
 
@@ -82,7 +71,7 @@
 	opts  Options
 	sup   *proc.Supervisor
 	block *block.Block // of all addresses
-	all   []*replica
+	all   []*replica.Replica
 	began time.Time
 	r     *rand.Rand // of the timeline alone
 
@@ -109,7 +98,7 @@
 	err := t.play(ctx)
 	if len(t.res.Problems) > 0 { // where each one stands may tell why
 		for _, r := range t.all {
-			p := r.process()
+			p := r.Process()
 			p.Signal(syscall.SIGQUIT)
 			select {
 			case <-p.Done():
@@ -123,117 +112,38 @@
 func (t *trial) close() {
 	t.sup.Close()
 	for _, r := range t.all {
-		for _, l := range r.links {
-			if l != nil {
-				l.Close()
-			}
-		}
-		r.log.Close()
+		r.Close()
 	}
 	if t.block != nil {
 		t.block.Close()
 	}
 }
 
-// buildOf makes so many replicas' folders, links and configurations. Everything reaches a replica by its links, unless
-// they are left out.
+// buildOf makes so many replicas. Everything reaches one by its links, unless they are left out.
 func (t *trial) buildOf(count int, direct bool) error {
 	var err error
 	if t.block, err = block.Take(); err != nil {
 		return err
 	}
-	for i := range count {
-		r := &replica{t: t, id: fmt.Sprint("d", i), dir: filepath.Join(t.opts.Dir, fmt.Sprint("d", i))}
-		if err := os.MkdirAll(r.dir, 0o700); err != nil {
-			return err
-		}
-		if r.log, err = os.Create(filepath.Join(r.dir, "log")); err != nil {
-			return err
-		}
-		t.all = append(t.all, r)
-		for n, at := range []*string{&r.http, &r.raft} {
-			*at = fmt.Sprintf("%s:%d", t.block.IP(1, i+1), 8600+n)
-			if direct {
-				continue
-			}
-			if r.links[n], err = relay.Listen(fmt.Sprintf("%s:%d", t.block.IP(2, i+1), 8600+n), t.opts.Seed+uint64(10*i+n), relay.To(*at), func(time.Duration) {}); err != nil {
-				return err
-			}
-			r.links[n].Set(calm)
-		}
-	}
-	for _, r := range t.all {
-		var b strings.Builder
-		fmt.Fprintf(&b, "id = %q\nhttp = %q\nraft = %q\nbind_http = %q\nbind_raft = %q\ndata = %q\n", r.id, r.reached(0), r.reached(1),
-			r.http, r.raft, filepath.Join(r.dir, "data"))
-		if !direct { // much happens in a short time
-			fmt.Fprintf(&b, "election = \"300ms\"\n[snapshot]\nevery = 40\ntrailing = 20\ninterval = \"200ms\"\n[watch]\nlag_kb = 64\n")
-		}
-		for _, p := range t.all {
-			if p != r {
-				fmt.Fprintf(&b, "[[peer]]\nid = %q\nhttp = %q\nraft = %q\n", p.id, p.reached(0), p.reached(1))
-			}
-		}
-		if err := os.WriteFile(r.config(), []byte(b.String()), 0o600); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// reached is where others reach it.
-func (r *replica) reached(n int) string {
-	if r.links[n] != nil {
-		return r.links[n].Addr()
-	}
-	return [...]string{r.http, r.raft}[n]
-}
-
-func (r *replica) config() string { return filepath.Join(r.dir, "directory.toml") }
-
-// start starts the replica's process, unless it runs.
-func (r *replica) start() error {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.p != nil {
-		select {
-		case <-r.p.Done():
-		default:
-			return nil
-		}
-	}
-	p, err := r.t.sup.Start(proc.Spec{
-		Name: r.id, Command: append(slices.Clone(r.t.opts.Command), "--config", r.config()),
-		Env: []string{"PATH=" + os.Getenv("PATH"), "TMPDIR=" + r.dir}, Log: r.log,
-	})
-	if err == nil {
-		r.p = p
+	o := replica.Options{Command: t.opts.Command, Dir: t.opts.Dir, Block: t.block, Supervisor: t.sup, Seed: t.opts.Seed}
+	if !direct { // much happens in a short time
+		o.Weather = &calm
+		o.Settings = "election = \"300ms\"\n[snapshot]\nevery = 40\ntrailing = 20\ninterval = \"200ms\"\n[watch]\nlag_kb = 64\n"
 	}
+	t.all, err = replica.New(count, o)
 	return err
 }
 
-func (r *replica) process() *proc.Process {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.p
-}
-
-// kill ends the process, and returns when it has ended.
-func (r *replica) kill() {
-	p := r.process()
-	p.Signal(syscall.SIGKILL)
-	<-p.Done()
-}
-
-func (r *replica) operator() *directory.Operator {
-	return &directory.Operator{Addresses: []string{r.http}, Client: &http.Client{Timeout: opWait, Transport: &http.Transport{DisableKeepAlives: true}}}
+// operator asks one replica past its links.
+func operator(r *replica.Replica) *directory.Operator {
+	return &directory.Operator{Addresses: []string{r.Own(replica.HTTP)}, Client: &http.Client{Timeout: opWait, Transport: &http.Transport{DisableKeepAlives: true}}}
 }
 
 // leader is the replica that says it leads, or any.
-func (t *trial) leader(ctx context.Context) *replica {
+func (t *trial) leader(ctx context.Context) *replica.Replica {
 	for _, r := range t.all {
 		ctx, cancel := context.WithTimeout(ctx, 300*time.Millisecond)
-		st, err := r.operator().Status(ctx)
+		st, err := operator(r).Status(ctx)
 		cancel()
 		if err == nil && st.State == "Leader" {
 			return r
@@ -260,7 +170,7 @@
 func (t *trial) addresses(seed uint64) []string {
 	var all []string
 	for _, r := range t.all {
-		all = append(all, r.links[0].Addr())
+		all = append(all, r.Reached(replica.HTTP))
 	}
 	rand.New(rand.NewPCG(t.opts.Seed, seed)).Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	return all
@@ -268,7 +178,7 @@
 
 func (t *trial) voters(ctx context.Context, n int) bool {
 	for _, r := range t.all {
-		st, err := r.operator().Status(ctx)
+		st, err := operator(r).Status(ctx)
 		if err != nil || st.Leader == "" {
 			return false
 		}
@@ -287,7 +197,7 @@
 
 func (t *trial) play(ctx context.Context) error {
 	for _, r := range t.all {
-		if err := r.start(); err != nil {
+		if err := r.Start(); err != nil {
 			return err
 		}
 	}
@@ -327,7 +237,7 @@
 		return err
 	}
 	for _, r := range t.all {
-		if err := r.start(); err != nil {
+		if err := r.Start(); err != nil {
 			return err
 		}
 	}
@@ -433,50 +343,50 @@
 // fault is one kind of what may happen.
 type fault struct {
 	name string
-	do   func(t *trial, ctx context.Context, r *replica, for_ time.Duration) error
+	do   func(t *trial, ctx context.Context, r *replica.Replica, for_ time.Duration) error
 }
 
 var faults = []fault{
-	{"kill", func(t *trial, ctx context.Context, r *replica, d time.Duration) error {
-		r.kill()
+	{"kill", func(t *trial, ctx context.Context, r *replica.Replica, d time.Duration) error {
+		r.Kill()
 		registry.Sleep(ctx, d)
-		return r.start()
+		return r.Start()
 	}},
-	{"stop", func(t *trial, ctx context.Context, r *replica, d time.Duration) error {
-		p := r.process()
+	{"stop", func(t *trial, ctx context.Context, r *replica.Replica, d time.Duration) error {
+		p := r.Process()
 		p.Signal(syscall.SIGSTOP)
 		registry.Sleep(ctx, d)
 		return p.Signal(syscall.SIGCONT)
 	}},
-	{"cut towards", cutting(1, relay.Weather{CutOut: true})},
-	{"cut from", cutting(1, relay.Weather{CutBack: true})},
-	{"cut both ways", cutting(1, relay.Weather{CutOut: true, CutBack: true})},
-	{"cut from callers", cutting(0, relay.Weather{CutOut: true, CutBack: true})},
-	{"answers to callers lost", cutting(0, relay.Weather{CutBack: true})},
-	{"disk full", func(t *trial, ctx context.Context, r *replica, d time.Duration) error {
-		p := r.process()
+	{"cut towards", cutting(replica.Raft, relay.Weather{CutOut: true})},
+	{"cut from", cutting(replica.Raft, relay.Weather{CutBack: true})},
+	{"cut both ways", cutting(replica.Raft, relay.Weather{CutOut: true, CutBack: true})},
+	{"cut from callers", cutting(replica.HTTP, relay.Weather{CutOut: true, CutBack: true})},
+	{"answers to callers lost", cutting(replica.HTTP, relay.Weather{CutBack: true})},
+	{"disk full", func(t *trial, ctx context.Context, r *replica.Replica, d time.Duration) error {
+		p := r.Process()
 		if err := p.DiskFull(true); err != nil {
 			return err
 		}
 		registry.Sleep(ctx, d)
 		select {
 		case <-p.Done():
-			return r.start()
+			return r.Start()
 		default:
 			return p.DiskFull(false)
 		}
 	}},
-	{"folder lost", func(t *trial, ctx context.Context, r *replica, d time.Duration) error {
-		r.kill()
-		if err := os.RemoveAll(filepath.Join(r.dir, "data")); err != nil {
+	{"folder lost", func(t *trial, ctx context.Context, r *replica.Replica, d time.Duration) error {
+		r.Kill()
+		if err := os.RemoveAll(r.Data()); err != nil {
 			return err
 		}
 		registry.Sleep(ctx, d/4)
 		return t.rejoin(ctx, r)
 	}},
-	{"log damaged", func(t *trial, ctx context.Context, r *replica, d time.Duration) error {
-		r.kill()
-		path := filepath.Join(r.dir, "data", "log.db")
+	{"log damaged", func(t *trial, ctx context.Context, r *replica.Replica, d time.Duration) error {
+		r.Kill()
+		path := filepath.Join(r.Data(), "log.db")
 		info, err := os.Stat(path)
 		if err != nil {
 			return err
@@ -487,36 +397,36 @@
 		registry.Sleep(ctx, d/4)
 		return t.rejoin(ctx, r)
 	}},
-	{"two gone", func(t *trial, ctx context.Context, r *replica, d time.Duration) error {
-		var gone []*replica
+	{"two gone", func(t *trial, ctx context.Context, r *replica.Replica, d time.Duration) error {
+		var gone []*replica.Replica
 		for _, o := range t.all {
 			if o != r {
-				o.kill()
+				o.Kill()
 				gone = append(gone, o)
 			}
 		}
 		registry.Sleep(ctx, d)
-		return errors.Join(gone[0].start(), gone[1].start())
+		return errors.Join(gone[0].Start(), gone[1].Start())
 	}},
 }
 
-func cutting(link int, w relay.Weather) func(*trial, context.Context, *replica, time.Duration) error {
-	return func(_ *trial, ctx context.Context, r *replica, d time.Duration) error {
-		r.links[link].Set(w)
+func cutting(link int, w relay.Weather) func(*trial, context.Context, *replica.Replica, time.Duration) error {
+	return func(_ *trial, ctx context.Context, r *replica.Replica, d time.Duration) error {
+		r.Links[link].Set(w)
 		registry.Sleep(ctx, d)
-		r.links[link].Set(calm)
-		r.links[link].Reset()
+		r.Links[link].Set(calm)
+		r.Links[link].Reset()
 		return nil
 	}
 }
 
 // rejoin starts a replica that has lost what it knew, and waits until it votes again: with another one gone at that
 // time, what was agreed on could be lost.
-func (t *trial) rejoin(ctx context.Context, r *replica) error {
-	if err := r.start(); err != nil {
+func (t *trial) rejoin(ctx context.Context, r *replica.Replica) error {
+	if err := r.Start(); err != nil {
 		return err
 	}
-	return await(ctx, r.id+" with a vote", func() bool { return t.voters(ctx, replicas) })
+	return await(ctx, r.ID+" with a vote", func() bool { return t.voters(ctx, replicas) })
 }
 
 // timeline plays faults one after the other, at the leader half of the time, with a moment between two of them.
@@ -537,7 +447,7 @@
 		if t.r.IntN(2) == 0 {
 			who, r = "leader", t.leader(ctx)
 		}
-		name := fmt.Sprintf("%v %s: %s of %s for %v", t.now().Round(time.Millisecond), who, f.name, r.id, d)
+		name := fmt.Sprintf("%v %s: %s of %s for %v", t.now().Round(time.Millisecond), who, f.name, r.ID, d)
 		t.opts.Log.Info("fault", "what", name)
 		t.res.Faults = append(t.res.Faults, name)
 		if err := f.do(t, ctx, r, d); err != nil {
@@ -582,7 +492,7 @@
 		if _, err := c.Restore(ctx, saved); err != nil {
 			return fmt.Errorf("the restore: %w", err)
 		}
-		st, err := t.leader(ctx).operator().Status(ctx)
+		st, err := operator(t.leader(ctx)).Status(ctx)
 		if err != nil {
 			return err
 		}
@@ -639,7 +549,7 @@
 	if err != nil {
 		return a, err
 	}
-	lead := t.leader(ctx).operator()
+	lead := operator(t.leader(ctx))
 	lead.Wait = settleWait
 	for after := int64(0); ; {
 		h, err := lead.History(ctx, after, 1000)
@@ -652,7 +562,7 @@
 		a.history = h.History
 		a.Changes = append(a.Changes, h.Changes...)
 		if len(h.Changes) == 0 && h.Revision < now.Revision { // no longer the leader
-			lead = t.leader(ctx).operator()
+			lead = operator(t.leader(ctx))
 			registry.Sleep(ctx, operatorPause)
 			continue
 		}
