Answers: what a late answer to several says is done is doubted, not believed

A call of several messages lasts as long as the longest time among them, and its answer was believed whenever it came. Where a hung endpoint answers when the first of them is over, the platform counts it for none, and the others never got an end.

Send tells when a message's time is up (EndBy); an answer to several that is read whole after the earliest of them leaves each message it calls over as unsure, and the module ends that as failed: a notice of what is over does no harm, a repeat or a refusal could. What never ran by that answer is sent on as before.

TestAnswerToSeveralAfterOneIsOver and TestWhatCantBeToldEndsAsFailed were seen to fail without it.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -521,6 +521,8 @@
 	}
 	s.sample(m, c, e.Outcome, lone)
 	switch {
+	case e.Unsure: // a repeat could be one after its end, a refusal could be untrue
+		s.finish(m, Fail{ID: m.id})
 	case e.Closed || e.Outcome == Pass:
 		s.finish(m, nil)
 	case m.out > 0: // another copy is out and may still pass
@@ -1188,7 +1190,7 @@
 		fresh := s.now < s.wornTil && (o.class.Effect == Unsafe || o.attempts > 1)
 		s.do(Send{
 			ID: o.id, Endpoint: e.id, Call: s.made, NotPast: s.timeout(o, e), StartBy: s.startBy(o),
-			Fresh: fresh,
+			EndBy: o.endBy(), Fresh: fresh,
 		})
 	}
 	r.tokens--
@@ -1205,10 +1207,13 @@
 	d.used += seconds(sendCharge)
 }
 
+// endBy is the clock time at which what a call says of the message counts no longer.
+func (m *message) endBy() time.Duration { return m.dropDead - endMargin/2 }
+
 // timeout is the clock time at which an attempt is abandoned. An unsafe message cannot be tried again, so it
 // is given all its time.
 func (s *Sender) timeout(m *message, e *endpoint) time.Duration {
-	last := m.dropDead - endMargin/2
+	last := m.endBy()
 	if m.class.Effect == Unsafe {
 		return last
 	}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -832,3 +832,20 @@
 		}
 	}
 }
+
+// A message whose call was answered when a fellow was over already may be delivered and may not: it is neither sent again,
+// lest that be after its end, nor refused, lest that be untrue.
+func TestWhatCantBeToldEndsAsFailed(t *testing.T) {
+	for class := range settings().Classes {
+		w := newStory(t, settings(), 1)
+		w.step(0, one())
+		w.step(5*ms, w.arrive("a", class, 0))
+		e := w.outcome("a", Pass, 0)
+		e.Closed, e.Unsure = false, true
+		w.step(5*ms, e)
+		if len(w.fails) != 1 || len(w.sends) != 1 {
+			t.Errorf("class %d: failed %d times after %d sends", class, len(w.fails), len(w.sends))
+		}
+		w.finish()
+	}
+}
--- a/choice/types.go
+++ b/choice/types.go
@@ -151,6 +151,7 @@
 	Outcome  Outcome
 	Took     time.Duration
 	Closed   bool          // the message is over
+	Unsure   bool          // said so when a fellow of its call was over already; it may be and may not
 	Kept     bool          // it went out on a connection that had been in use before
 	HungUp   bool          // the endpoint closed the connection after its answer
 	Wait     time.Duration // NoRoom: the wait told
@@ -190,12 +191,13 @@
 
 // Send calls an endpoint with a message; it is abandoned at NotPast, and not begun after StartBy unless that is 0: a
 // connection may take long to come up. Fresh asks for a new connection. Sends of one Step with the same Call travel
-// together.
+// together. EndBy is when the message's time is up.
 type Send struct {
 	ID, Endpoint string
 	Call         uint64
 	NotPast      time.Duration
 	StartBy      time.Duration
+	EndBy        time.Duration
 	Fresh        bool
 }
 
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -59,6 +59,7 @@
 	endpoint *endpoint
 	notPast  time.Time
 	startBy  time.Time // its first byte goes out before this or not at all, unless zero
+	endBy    time.Time // the time of one of its messages is up then
 	fresh    bool      // not on a kept connection
 	wrote    func()    // is called once its last byte is written, unless nil
 }
@@ -67,6 +68,7 @@
 type fate struct {
 	outcome choice.Outcome
 	closed  bool
+	unsure  bool // whether it is closed can't be told
 }
 
 // result is how it ended.
@@ -116,11 +118,22 @@
 // of is how the call ended for its i-th item.
 func (r result) of(i int) fate {
 	if r.each == nil {
-		return fate{r.outcome, r.closed}
+		return fate{outcome: r.outcome, closed: r.closed}
 	}
 	return r.each[i]
 }
 
+// doubt is for an answer to several messages that was read whole only when one of them was over. Who calls for several
+// has no longer waited for it then, so the platform may hold that it counts for none; or it had come in time, and this
+// process is late.
+func (r *result) doubt() {
+	for i, f := range r.each {
+		if f.closed {
+			r.each[i] = fate{outcome: f.outcome, unsure: true}
+		}
+	}
+}
+
 // do makes one call. It returns when its slot is free again: at the answer, or with the connection closed.
 func (p *pool) do(ctx context.Context, c call) result {
 	ctx, cancel := context.WithDeadline(ctx, c.notPast)
@@ -247,6 +260,9 @@
 	}
 	res, reuse, err := k.answer(c.items)
 	if err == nil {
+		if len(c.items) > 1 && !time.Now().Before(c.endBy) {
+			res.doubt()
+		}
 		return res, reuse
 	}
 	switch {
@@ -347,8 +363,8 @@
 }
 
 var states = map[string]fate{
-	"accepted": {choice.Pass, true}, "fault": {choice.Fault, false}, "deferred": {choice.NoRoom, false},
-	"expired": {choice.Stale, true}, "no_more": {choice.Stale, false},
+	"accepted": {outcome: choice.Pass, closed: true}, "fault": {outcome: choice.Fault}, "deferred": {outcome: choice.NoRoom},
+	"expired": {outcome: choice.Stale, closed: true}, "no_more": {outcome: choice.Stale},
 }
 
 // fates reads the answer to a batch. An item that it does not name, or in words that the protocol does not know, may
--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -131,7 +131,7 @@
 }
 
 func testCall(e *endpoint) call {
-	return call{items: []item{{"9b1f03aa5c7e2d41", "5c0f", []byte("body\x00")}}, endpoint: e, notPast: time.Now().Add(patience)}
+	return call{items: []item{{"9b1f03aa5c7e2d41", "5c0f", []byte("body\x00")}}, endpoint: e, notPast: time.Now().Add(patience), endBy: time.Now().Add(patience)}
 }
 
 func eventually(t *testing.T, what string, ok func() bool) {
@@ -482,7 +482,7 @@
 // Several messages travel in the form of the protocol's batch, and each fares as the answer says of it. One that can't
 // be read whole proves nothing of any.
 func TestBatch(t *testing.T) {
-	pass, cut := fate{choice.Pass, true}, fate{outcome: choice.Cut}
+	pass, cut := fate{outcome: choice.Pass, closed: true}, fate{outcome: choice.Cut}
 	for _, c := range []struct {
 		name, head, body string
 		want             [3]fate
@@ -491,7 +491,7 @@
 		{"each its own", "200 OK", `[{"id":"c","state":"deferred"},{"id":"a","state":"accepted"},{"id":"b","state":"fault"}]`,
 			[3]fate{pass, {outcome: choice.Fault}, {outcome: choice.NoRoom}}, 0},
 		{"not sent", "200 OK", `[{"id":"a","state":"expired"},{"id":"b","state":"no_more"},{"id":"c","state":"accepted"}]`,
-			[3]fate{{choice.Stale, true}, {outcome: choice.Stale}, pass}, 0},
+			[3]fate{{outcome: choice.Stale, closed: true}, {outcome: choice.Stale}, pass}, 0},
 		{"with a wait", "200 OK\r\nRetry-After: 0.5", `[{"id":"a","state":"accepted"},{"id":"b","state":"accepted"},{"id":"c","state":"deferred"}]`,
 			[3]fate{pass, pass, {outcome: choice.NoRoom}}, 500 * time.Millisecond},
 		{"left out and unknown", "200 OK", `[{"id":"a","state":"accepted"},{"id":"b","state":"odd"},{"id":"x","state":"accepted"}]`,
@@ -531,6 +531,33 @@
 	}
 }
 
+// Who calls for several messages waits no longer than the first of them has time: what a later answer says is done can't
+// be relied on for any of them, and what it says is not done never ran.
+func TestAnswerToSeveralAfterOneIsOver(t *testing.T) {
+	const body = `[{"id":"a","state":"accepted"},{"id":"b","state":"expired"},{"id":"c","state":"deferred"}]`
+	answered := newPartner(t, func(nc net.Conn, _ *http.Request) bool {
+		_, err := io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body)
+		return err == nil
+	})
+	for _, c := range []struct {
+		name  string
+		endBy time.Duration
+		want  [3]fate
+	}{
+		{"in time", time.Hour, [3]fate{{outcome: choice.Pass, closed: true}, {outcome: choice.Stale, closed: true}, {outcome: choice.NoRoom}}},
+		{"late", 0, [3]fate{{outcome: choice.Pass, unsure: true}, {outcome: choice.Stale, unsure: true}, {outcome: choice.NoRoom}}},
+	} {
+		testee := testCall(endpointAt(answered.addr()))
+		testee.items, testee.endBy = []item{{ID: "a"}, {ID: "b"}, {ID: "c"}}, time.Now().Add(c.endBy)
+		got := testPool().do(t.Context(), testee)
+		for i, want := range c.want {
+			if got.of(i) != want {
+				t.Errorf("%s, %d: got %+v, want %+v", c.name, i, got.of(i), want)
+			}
+		}
+	}
+}
+
 // stopped is a connection whose first read goes on until its deadline is set to a time in the past, as if the process
 // had been stopped while the answer came.
 type stopped struct {
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -99,6 +99,7 @@
 type fateOf struct {
 	Outcome choice.Outcome
 	Closed  bool
+	Unsure  bool // builds of old do not tell
 }
 
 type question struct {
@@ -509,7 +510,7 @@
 		}
 		c.attempts = append(c.attempts, name)
 		if o.Each != nil {
-			c.each = append(c.each, fate{o.Each[i].Outcome, o.Each[i].Closed})
+			c.each = append(c.each, fate{o.Each[i].Outcome, o.Each[i].Closed, o.Each[i].Unsure})
 		}
 		if n.waits[a.Dest] != nil && o.Wait > 0 && n.eps[o.Endpoint] == nil {
 			e.wait = n.waits[a.Dest]
@@ -730,7 +731,7 @@
 		delete(n.out, name)
 	}
 	for _, f := range c.each {
-		o.Each = append(o.Each, fateOf{f.outcome, f.closed})
+		o.Each = append(o.Each, fateOf{f.outcome, f.closed, f.unsure})
 	}
 	return o
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -703,7 +703,7 @@
 		m, fate := n.out[name].m, e.of(i)
 		delete(n.out, name)
 		ended := choice.Ended{
-			ID: m.name(), Attempt: name.n, Endpoint: e.endpoint.id, Outcome: fate.outcome, Took: e.took, Closed: fate.closed,
+			ID: m.name(), Attempt: name.n, Endpoint: e.endpoint.id, Outcome: fate.outcome, Took: e.took, Closed: fate.closed, Unsure: fate.unsure,
 			Wait: e.wait, NoSlot: e.noSlot, Report: e.report, Kept: e.kept, HungUp: e.hungUp,
 		}
 		ominous := n.sender.Ominous(m.dest, ended)
@@ -868,6 +868,9 @@
 	if t := n.wall(a.NotPast); t.After(o.notPast) {
 		o.notPast = t
 	}
+	if t := n.wall(a.EndBy); o.endBy.IsZero() || t.Before(o.endBy) {
+		o.endBy = t
+	}
 	if t := n.wall(a.StartBy); a.StartBy > 0 && (o.startBy.IsZero() || t.Before(o.startBy)) {
 		o.startBy = t
 	}
