--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -1013,6 +1013,40 @@
 	}
 }
 
+// Nothing in a node is cut to a number of endpoints or partners: each of a thousand and more gets its messages, and the
+// next life knows them all.
+func TestManyEndpoints(t *testing.T) {
+	const partners, each = 512, 3
+	p := newPartner(t, func(nc net.Conn, _ *http.Request) bool { _, err := io.WriteString(nc, delivered); return err == nil })
+	var members []catalog.Endpoint
+	for i := range partners * each {
+		members = append(members, catalog.Endpoint{ID: "e" + itoa(i), Addr: p.addr(), Locality: "z", Flavor: "m", Cell: i % partners, Phase: "SERVING", Size: 1000})
+	}
+	n := bareAltered(t, func(cfg *Config) { cfg.Settings.MaxOpen, cfg.Settings.Slots = partners, 50 })
+	n.take(t.Context(), []any{registry.News{List: catalog.List{Complete: true, Members: members}}})
+	var batch []any
+	for i := range partners {
+		a := handIn("m"+itoa(i), 50*time.Second)
+		a.dest = i
+		batch = append(batch, a)
+	}
+	n.take(t.Context(), batch)
+	reached := map[string]bool{}
+	for len(n.messages) > 0 {
+		e := (<-n.events).(called)
+		reached[e.endpoint.id] = true
+		n.take(t.Context(), []any{e})
+	}
+	if len(reached) != partners {
+		t.Errorf("%d endpoints had the messages of %d partners", len(reached), partners)
+	}
+	n.pool.close()
+	n.calls.Wait()
+	if again := openTest(t, n.cfg.State, 3); len(again.known) != len(members) {
+		t.Errorf("the next life knows %d endpoints of %d", len(again.known), len(members))
+	}
+}
+
 // The module weighs a message by its tenant's share, before a restart and after it. A tenant that the settings don't
 // name is nobody's share, least of all the first one's; a journal of before tenants were told names none.
 func TestTheTenantReachesTheModule(t *testing.T) {
