Choice: a route that all endpoints share is brought up to date once a look, not once each

Work that grows with the number of endpoints at each wake. A destination of 1,024 endpoints with 90 messages waiting for its pace cost 54 to 68 us a step, most of it the same route's refill, 1,024 times over.

Change. next refills a shared route once; a second refill at the same time changed nothing, so no decision differs.

--- a/choice/bench_test.go
+++ b/choice/bench_test.go
@@ -32,6 +32,36 @@
 	}
 }
 
+// BenchmarkManyEndpoints is a step with a backlog of 90 messages whose partner is at its pace: what it costs to look at
+// all that waits for as many endpoints as it has, which each wake does.
+func BenchmarkManyEndpoints(b *testing.B) {
+	for _, endpoints := range []int{4, 64, 1024} {
+		for _, kind := range []string{"shared", "apart"} {
+			b.Run(fmt.Sprint(kind, endpoints), func(b *testing.B) {
+				var entries []Entry
+				for i := range endpoints {
+					entries = append(entries, Entry{Endpoint: fmt.Sprint("e", i), Weight: 1})
+				}
+				cfg := settings()
+				cfg.Fleet, cfg.Slots, cfg.MaxOpen = 200, 8, 200
+				cfg.Kinds = []Kind{{Apart: kind == "apart"}}
+				s, now := New(cfg, 1), time.Hour
+				s.Step(now, []Event{list(entries...)})
+				var events []Event
+				for i := range 98 {
+					events = append(events, Arrived{ID: fmt.Sprint("m", i), DropDead: now + 24*time.Hour})
+				}
+				s.Step(now, events)
+				b.ReportAllocs()
+				for b.Loop() {
+					now += 10 * time.Microsecond
+					s.Step(now, []Event{Rang{}})
+				}
+			})
+		}
+	}
+}
+
 // With nothing held a sender asks for no wake, and what it keeps to walk is empty, however many it knows.
 func TestIdleSenderSleeps(t *testing.T) {
 	w := newStory(t, settings(), 1)
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1028,8 +1028,10 @@
 		return nil, nil
 	}
 	open := false
-	for _, e := range d.endpoints {
-		s.refill(e.route)
+	for i, e := range d.endpoints {
+		if i == 0 || e.route != d.endpoints[0].route { // one for all, or each its own
+			s.refill(e.route)
+		}
 		if e.warming != nil && s.now-e.warming.coldFrom > s.cfg.WarmWithin {
 			e.warming = nil
 		} else if e.warming != nil {
