--- a/fleet/judge/judge.go
+++ b/fleet/judge/judge.go
@@ -95,7 +95,8 @@
 // call is one call as it was seen.
 type call struct {
 	began, ended history.Event
-	open         bool // it never ended
+	open         bool          // it never ended
+	over         time.Duration // the time of one of its messages was up then
 }
 
 func (c *call) end() time.Duration {
@@ -105,7 +106,8 @@
 	return c.ended.At
 }
 
-// fate is how the call ended for a message, as the node was told; mayHaveRun unless the node has proof.
+// fate is how the call ended for a message, as the node was told; mayHaveRun unless the node has proof. What an answer to
+// several says when one of them is over counts for none.
 func (c *call) fate(id string) (delivered, mayHaveRun bool) {
 	if c.open {
 		return false, true
@@ -114,7 +116,8 @@
 	case history.Accepted:
 		for i, f := range c.ended.Fates {
 			if i < len(c.began.IDs) && c.began.IDs[i] == id {
-				return f == history.FateAccepted, f != history.FateDeferred
+				counts := len(c.began.IDs) == 1 || c.ended.At <= c.over
+				return f == history.FateAccepted && counts, f != history.FateDeferred
 			}
 		}
 		return false, true
@@ -206,9 +209,13 @@
 				m.answered = &e
 			}
 		case history.CallBegan:
+			c := j.calls[e.Call]
 			for _, id := range e.IDs {
 				if m := j.messages[id]; m != nil {
-					m.calls = append(m.calls, j.calls[e.Call])
+					m.calls = append(m.calls, c)
+					if up := m.in.At + m.in.Life + j.terms.Slack; c.over == 0 || up < c.over {
+						c.over = up
+					}
 				}
 			}
 		case history.CallEnded:
--- a/fleet/judge/judge_test.go
+++ b/fleet/judge/judge_test.go
@@ -75,6 +75,21 @@
 		{"no end", []Rule{OneEnd}, func(s *story) { s.taken(0, "a", safe) }},
 		{"a late end", []Rule{OneEnd}, func(s *story) { s.taken(0, "a", safe); s.notice(4500*ms, "a", history.Failed) }},
 		{"an end just in time", nil, func(s *story) { s.taken(0, "a", safe); s.notice(4340*ms, "a", history.Failed) }},
+		{"answered with another that is over", []Rule{OneEnd}, func(s *story) {
+			s.taken(0, "a", safe)
+			s.taken(time.Second, "bb", unsafe)
+			both := s.call(1100*ms, "a", "bb")
+			s.notice(4*time.Second, "a", history.Failed)
+			s.end(4060*ms, both, history.Accepted, 0, ok, ok)
+		}},
+		{"answered with another that is over, and a notice", nil, func(s *story) {
+			s.taken(0, "a", safe)
+			s.taken(time.Second, "bb", unsafe)
+			both := s.call(1100*ms, "a", "bb")
+			s.notice(4*time.Second, "a", history.Failed)
+			s.end(4060*ms, both, history.Accepted, 0, ok, ok)
+			s.notice(4070*ms, "bb", history.Failed)
+		}},
 		{"no end, not taken", nil, func(s *story) {
 			s.add(history.Event{Kind: history.HandedIn, Partner: -1, ID: "a", Case: 1, Life: time.Second})
 			s.add(history.Event{At: ms, Kind: history.Answered, Partner: -1, ID: "a", State: history.Refused})
