Handover: an heir of an older build takes a doubted answer for one that may have run

The outcome told on is a time-out, which older builds end or repeat as the class permits; this build looks at the doubt alone.

--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -554,6 +554,10 @@
 				t.Errorf("%s, %d: got %+v, want %+v", c.name, i, got.of(i), want)
 			}
 		}
+		told := (&Node{}).outcome(called{endpoint: testee.endpoint, result: got}).Each[0] // to an heir, perhaps of an older build
+		if told.Closed == told.Unsure || told.Unsure != (told.Outcome == choice.TooSlow) {
+			t.Errorf("%s: an heir is told %+v", c.name, told)
+		}
 		testee.items = testee.items[:1]
 		if got := testPool().do(t.Context(), testee).of(0); got != c.want[0] {
 			t.Errorf("%s, alone: got %+v, want %+v", c.name, got, c.want[0])
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -723,8 +723,8 @@
 // outcome takes a call off those that are out, and tells how it ended.
 func (n *Node) outcome(c called) *outcomeOf {
 	o := &outcomeOf{
-		Endpoint: c.endpoint.id, Took: c.took, Outcome: c.outcome, Wait: c.wait, NoSlot: c.noSlot, Closed: c.closed, Unsure: c.unsure,
-		Report: c.report, Kept: c.kept, HungUp: c.hungUp,
+		Endpoint: c.endpoint.id, Took: c.took, Outcome: fate{c.outcome, c.closed, c.unsure}.forHeir(),
+		Wait: c.wait, NoSlot: c.noSlot, Closed: c.closed, Unsure: c.unsure, Report: c.report, Kept: c.kept, HungUp: c.hungUp,
 	}
 	for _, name := range c.attempts {
 		m := n.out[name].m
@@ -732,7 +732,15 @@
 		delete(n.out, name)
 	}
 	for _, f := range c.each {
-		o.Each = append(o.Each, fateOf{f.outcome, f.closed, f.unsure})
+		o.Each = append(o.Each, fateOf{f.forHeir(), f.closed, f.unsure})
 	}
 	return o
 }
+
+// forHeir is the outcome in words that builds of old, which know of no doubt, take for one that may have run.
+func (f fate) forHeir() choice.Outcome {
+	if f.unsure {
+		return choice.TooSlow
+	}
+	return f.outcome
+}
