Members: views, sides and a record as witness, as a pure machine proved by random schedules

Before anything is carried by sockets, what may be concluded from what is heard has to be right in every order of cuts, losses, restarts and lost folders.

Change. fleet/members: statements, states, a grace for restarts, incarnations that survive a lost folder and clock, two processes of one name, digests, agreement, and sides of a split. Larger rests on the directory's record alone.

--- /dev/null
+++ b/fleet/members/members_test.go
@@ -0,0 +1,338 @@
+package members
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const (
+	tick  = 500 * time.Millisecond
+	doubt = 3 // ticks without a way from a member until the detector doubts it,
+	lost  = 8 // and until it gives it up
+)
+
+func testTerms() Terms {
+	return Terms{Grace: 6 * time.Second, Forget: time.Hour, Lease: 4 * time.Second}
+}
+
+// process is one process of a name in the fleet below.
+type process struct {
+	view    *View
+	saved   uint64
+	wall    int64 // its clock's error
+	up      bool
+	unheard map[int]int // ticks since another was last within reach
+}
+
+// letter is what is on its way to a process.
+type letter struct {
+	to int
+	at int // tick
+	ev Event
+}
+
+// fleet is some processes, the ways between them and the directory's record, on virtual time.
+type fleet struct {
+	t       interface{ Fatalf(string, ...any) }
+	lies    bool // each reader of the record is told that it has long named its own view
+	rng     *rand.Rand
+	tick    int
+	all     []*process
+	cut     [][]bool // from, to
+	away    []bool   // from the directory
+	post    []letter
+	names   []string // of the record
+	rev     int64
+	changed int
+	highest map[[2]int]uint64 // incarnation of a member, as a process has seen it
+	left    map[[2]int]uint64
+}
+
+func (f *fleet) now() time.Duration { return time.Hour + time.Duration(f.tick)*tick }
+
+func (f *fleet) start(i int, lostFolder bool) {
+	p := f.all[i]
+	for j := range f.all { // it remembers nothing of the others
+		delete(f.highest, [2]int{i, j})
+		delete(f.left, [2]int{i, j})
+	}
+	if lostFolder {
+		p.saved = 0
+	}
+	self := Statement{Name: fmt.Sprint("n", i), Life: f.rng.Uint64() | 1, Addr: fmt.Sprint("a", i)}
+	p.view = New(testTerms(), self, p.saved, 1_700_000_000_000+int64(f.tick)*500+p.wall, f.now())
+	p.saved, p.up, p.unheard = p.view.Self().Incarnation, true, map[int]int{}
+	p.view.Advance(f.now(), Serving, 0)
+}
+
+func (f *fleet) give(i int, ev Event) {
+	p := f.all[i]
+	if !p.up {
+		return
+	}
+	for _, a := range p.view.Step(f.now(), ev) {
+		switch a := a.(type) {
+		case Refused:
+			f.t.Fatalf("tick %d: n%d refuses %+v though each name has one process at a time", f.tick, i, a)
+		case Remind:
+			var j int
+			if fmt.Sscanf(a.Name, "n%d", &j); !f.cut[i][j] {
+				f.post = append(f.post, letter{j, f.tick + 1, Said{a.Statement}})
+			}
+		}
+	}
+	p.saved = p.view.Self().Incarnation
+}
+
+// step is one tick: the detector looks, each process tells one other all that it counts, some read the record.
+func (f *fleet) step(loss float64, late int) {
+	f.tick++
+	due := slices.Clone(f.post)
+	f.post = slices.DeleteFunc(f.post, func(l letter) bool { return l.at <= f.tick })
+	for _, l := range due {
+		if l.at <= f.tick {
+			f.give(l.to, l.ev)
+		}
+	}
+	for i, p := range f.all {
+		if !p.up {
+			continue
+		}
+		for j, q := range f.all {
+			if i == j {
+				continue
+			}
+			if q.up && !f.cut[i][j] && !f.cut[j][i] {
+				if p.unheard[j] >= doubt {
+					f.give(i, Heard{fmt.Sprint("n", j)})
+				}
+				p.unheard[j] = 0
+				continue
+			}
+			switch p.unheard[j]++; p.unheard[j] % lost { // one that it hears of later it looks for as well
+			case doubt:
+				f.give(i, Doubted{fmt.Sprint("n", j)})
+			case 0:
+				f.give(i, Lost{fmt.Sprint("n", j)})
+			}
+		}
+		f.give(i, Tick{})
+		j := f.rng.IntN(len(f.all))
+		if j != i && !f.cut[i][j] {
+			f.tell(i, j, loss, late)
+		}
+		if !f.away[i] && f.rng.IntN(3) == 0 {
+			w := Witnessed{Names: f.names, Revision: f.rev, Stood: time.Duration(f.tick-f.changed) * tick, Asked: f.now()}
+			if f.lies {
+				w.Names, w.Revision, w.Stood = p.view.Counted(), 1, time.Hour
+			}
+			f.post = append(f.post, letter{i, f.tick + f.rng.IntN(late+1), w})
+			if names, on, ok := p.view.Proposal(); ok && on == f.rev {
+				f.names, f.rev, f.changed = names, f.rev+1, f.tick
+			}
+		}
+	}
+	f.check()
+}
+
+// part sets the ways between processes; all reach the directory.
+func (f *fleet) part(cut func(from, to int) bool) {
+	for a := range f.all {
+		for b := range f.all {
+			f.cut[a][b] = cut(a, b)
+		}
+	}
+	clear(f.away)
+}
+
+func (f *fleet) tell(i, j int, loss float64, late int) {
+	says := []Statement{f.all[i].view.Self()}
+	for _, m := range f.all[i].view.Members() {
+		if m.State.Counted() {
+			says = append(says, m.Statement)
+		}
+	}
+	for _, s := range says {
+		for copies := 1 + f.rng.IntN(2); copies > 0; copies-- {
+			if f.rng.Float64() >= loss {
+				f.post = append(f.post, letter{j, f.tick + 1 + f.rng.IntN(late+1), Said{s}})
+			}
+		}
+	}
+}
+
+// check holds what is true at any time.
+func (f *fleet) check() {
+	var larger []string
+	for i, p := range f.all {
+		if !p.up {
+			continue
+		}
+		for _, m := range p.view.Members() {
+			var k int
+			fmt.Sscanf(m.Name, "n%d", &k)
+			at := [2]int{i, k}
+			if m.Incarnation < f.highest[at] {
+				f.t.Fatalf("tick %d: to n%d the incarnation of %s went back", f.tick, i, m.Name)
+			}
+			f.highest[at] = m.Incarnation
+			if was, ok := f.left[at]; ok && m.State != Left && m.Incarnation <= was {
+				f.t.Fatalf("tick %d: to n%d %s is %v again in the life that it left in", f.tick, i, m.Name, m.State)
+			}
+			if m.State == Left {
+				f.left[at] = m.Incarnation
+			}
+		}
+		if p.view.Side() != Larger {
+			continue
+		}
+		if names := p.view.Counted(); larger != nil && !slices.Equal(names, larger) {
+			f.t.Fatalf("tick %d: %v and %v both count as the larger part", f.tick, larger, names)
+		} else {
+			larger = names
+		}
+	}
+}
+
+func newFleet(t interface{ Fatalf(string, ...any) }, n int, seed uint64) *fleet {
+	f := &fleet{t: t, rng: rand.New(rand.NewPCG(seed, 1)), highest: map[[2]int]uint64{}, left: map[[2]int]uint64{}}
+	for i := range n {
+		f.all, f.away, f.cut = append(f.all, &process{}), append(f.away, false), append(f.cut, make([]bool, n))
+		f.start(i, false)
+	}
+	return f
+}
+
+// Any schedule of cuts (also one way), losses, delays, deaths, restarts with folders and clocks lost, leavings and a
+// directory out of reach: no incarnation goes back, who has left stays away, no two views are the larger part, and some
+// time after the last fault all agree.
+func TestSchedules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 6).Draw(t, "processes")
+		f := newFleet(t, n, rapid.Uint64().Draw(t, "seed"))
+		process := rapid.IntRange(0, n-1)
+		for range rapid.IntRange(1, 15).Draw(t, "faults") {
+			i := process.Draw(t, "process")
+			p := f.all[i]
+			switch rapid.SampledFrom([]string{"cut", "part", "heal", "kill", "start", "leave", "away", "clock"}).Draw(t, "fault") {
+			case "cut":
+				f.cut[i][process.Draw(t, "from")] = true
+			case "part":
+				side := rapid.SliceOfN(rapid.Bool(), n, n).Draw(t, "side")
+				f.part(func(a, b int) bool { return side[a] != side[b] })
+			case "heal":
+				f.part(func(int, int) bool { return false })
+			case "kill":
+				p.up = false
+			case "start":
+				if !p.up {
+					f.start(i, rapid.Bool().Draw(t, "its folder is lost"))
+				}
+			case "leave":
+				if p.up {
+					p.view.Advance(f.now(), Gone, 0)
+					f.tell(i, (i+1)%n, 0, 1)
+					p.up = false
+				}
+			case "away":
+				f.away[i] = !f.away[i]
+			case "clock":
+				p.wall = int64(rapid.IntRange(-3_600_000, 3_600_000).Draw(t, "ms"))
+			}
+			for range rapid.IntRange(1, 20).Draw(t, "ticks") {
+				f.step(0.2, 6)
+			}
+		}
+		f.part(func(int, int) bool { return false })
+		for range 80 {
+			f.step(0, 1)
+		}
+		for i, p := range f.all {
+			if share, _ := p.view.Agreement(); p.up && share < 1 {
+				t.Fatalf("40 s after the last fault n%d agrees with %.2f of the others only: %v", i, share, p.view.Counted())
+			}
+		}
+	})
+}
+
+// found is told of what check finds.
+type found struct{ what string }
+
+func (f *found) Fatalf(format string, args ...any) { f.what = fmt.Sprintf(format, args...) }
+
+// The check does find two larger parts where the directory tells each what it would like to hear.
+func TestCheckFindsALyingWitness(t *testing.T) {
+	for seed := range uint64(20) {
+		got := &found{}
+		f := newFleet(got, 5, seed)
+		f.lies = true
+		for range 5 {
+			f.part(func(a, b int) bool { return a != b && f.rng.IntN(3) == 0 })
+			for range 20 {
+				f.step(0, 2)
+			}
+		}
+		if strings.Contains(got.what, "larger") {
+			return
+		}
+	}
+	t.Error("not found with 20 seeds")
+}
+
+// Two processes that run under one name at a time are found out by both and by the others, and all name the same one.
+func TestTwoProcessesOfOneName(t *testing.T) {
+	at := time.Hour
+	one := New(testTerms(), Statement{Name: "n", Life: 7, Addr: "here"}, 10, 0, at)
+	one.Advance(at, Serving, 0)
+	two := New(testTerms(), Statement{Name: "n", Life: 9, Addr: "there"}, 10, 0, at)
+	other := New(testTerms(), Statement{Name: "o", Life: 1}, 0, 0, at)
+	ends := map[string]int{}
+	note := func(who string, acts []Action) {
+		for _, a := range acts {
+			if r, ok := a.(Refused); ok {
+				if r.Ends.Addr != "there" {
+					t.Errorf("%s would end the one that serves", who)
+				}
+				ends[who]++
+			}
+		}
+	}
+	for range 4 {
+		note("other", other.Step(at, Said{one.Self()}))
+		note("two", two.Step(at, Said{one.Self()}))
+		note("other", other.Step(at, Said{two.Self()}))
+		note("one", one.Step(at, Said{two.Self()}))
+	}
+	if len(ends) != 3 {
+		t.Errorf("refused by %v", ends)
+	}
+}
+
+// A restart within the grace is no failure and changes no view.
+func TestRestartWithinTheGrace(t *testing.T) {
+	at := time.Hour
+	v := New(testTerms(), Statement{Name: "me", Life: 1}, 0, 0, at)
+	v.Advance(at, Serving, 0)
+	says := Statement{Name: "n", Life: 2, Incarnation: 5, Count: 1, Stage: Serving}
+	v.Step(at, Said{says})
+	digest := v.digest
+	says.Count, says.Stage = 2, Gone
+	v.Step(at+time.Second, Said{says})
+	v.Step(at+2*time.Second, Lost{"n"})
+	v.Step(at+5*time.Second, Said{Statement{Name: "n", Life: 3, Incarnation: 6, Count: 1, Stage: Serving}})
+	v.Step(at+time.Minute, Tick{})
+	if m := v.Members()[0]; m.State != Present || v.digest != digest {
+		t.Errorf("after a restart it is %v", m.State)
+	}
+	v.Step(at+2*time.Minute, Lost{"n"})
+	v.Step(at+3*time.Minute, Tick{})
+	if m := v.Members()[0]; m.State != Failed || v.Size() != 2 || v.Side() != CantTell {
+		t.Errorf("given up for longer it is %v, the size %d, the side %v", m.State, v.Size(), v.Side())
+	}
+}
