Members: a rival for the own name stands by itself, not among the others

Read once more: what another life had said under the own name lay in the map of the other members, and five loops had to pass over it. share returned a count that nobody took, and Proposal worked Agreement out for its second half.

View.rival holds it; the loops, witnessOfClash and the count are gone. Behaviour and tests are as they were.

--- a/fleet/members/members.go
+++ b/fleet/members/members.go
@@ -153,7 +153,8 @@
 	terms   Terms
 	self    Statement
 	now     time.Duration
-	members map[string]*Member
+	rival   Statement          // the last of another life under the own name that this one went above
+	members map[string]*Member // all others
 	epoch   uint64
 	digest  uint64
 	agreed  time.Duration // since when all that are counted agree; under 0: they don't
@@ -306,7 +307,9 @@
 	if s.Life == v.self.Life || s.Incarnation < v.self.Incarnation {
 		return
 	}
-	if v.witnessOfClash(s) {
+	answers := v.rival.Life == s.Life && s.after(v.rival) // it has spoken again since, so it is alive
+	v.rival = s
+	if answers {
 		v.acts = append(v.acts, refusal(v.self, s))
 		return
 	}
@@ -314,18 +317,6 @@
 	v.restate()
 }
 
-// witnessOfClash tells that the other life has spoken again since this one went above it, so that it is alive.
-func (v *View) witnessOfClash(s Statement) bool {
-	m := v.members[v.self.Name]
-	if m == nil {
-		m = &Member{}
-		v.members[v.self.Name] = m
-	}
-	again := m.Life == s.Life && s.after(m.Statement)
-	m.Statement = s
-	return again
-}
-
 // refusal decides which of two processes of one name ends: the one that has not served yet, else that which began
 // later, so that all who see both decide alike.
 func refusal(a, b Statement) Refused {
--- a/fleet/members/view.go
+++ b/fleet/members/view.go
@@ -39,7 +39,7 @@
 		}
 		v.stale = false
 	}
-	if share, _ := v.share(); share < 1 {
+	if v.share() < 1 {
 		v.agreed = -1
 	} else if v.agreed < 0 {
 		v.agreed = v.now
@@ -50,7 +50,7 @@
 func (v *View) Counted() []string {
 	var names []string
 	for name, m := range v.members {
-		if name != v.self.Name && m.State.Counted() {
+		if m.State.Counted() {
 			names = append(names, name)
 		}
 	}
@@ -62,10 +62,10 @@
 }
 
 // share is the part of the counted others whose view is this one, 1 if there are none.
-func (v *View) share() (float64, int) {
+func (v *View) share() float64 {
 	all, same := 0, 0
-	for name, m := range v.members {
-		if name == v.self.Name || !m.State.Counted() {
+	for _, m := range v.members {
+		if !m.State.Counted() {
 			continue
 		}
 		if all++; m.View == v.digest {
@@ -73,19 +73,18 @@
 		}
 	}
 	if all == 0 {
-		return 1, 0
+		return 1
 	}
-	return float64(same) / float64(all), same
+	return float64(same) / float64(all)
 }
 
 // Agreement tells which part of the counted others hold the same view, and for how long all of them have: 0 while
 // some don't. What they hold is what they said last, so it is as old as their news takes.
 func (v *View) Agreement() (share float64, whole time.Duration) {
-	share, _ = v.share()
 	if v.agreed >= 0 {
 		whole = v.now - v.agreed
 	}
-	return share, whole
+	return v.share(), whole
 }
 
 // Side tells where the process stands. Larger rests on the witness alone, never on counting: two parts that can't hear
@@ -94,8 +93,8 @@
 // at once, whatever the clocks show, as long as they run at about one pace.
 func (v *View) Side() Side {
 	here, known := 1, 1 // the process itself
-	for name, m := range v.members {
-		if name == v.self.Name || m.State == Left || m.State == NotYet || m.State == Unknown {
+	for _, m := range v.members {
+		if m.State == Left || m.State == NotYet || m.State == Unknown {
 			continue
 		}
 		known++
@@ -126,9 +125,8 @@
 			kept++
 		}
 	}
-	_, whole := v.Agreement()
 	_, here := slices.BinarySearch(names, v.self.Name)
-	ok = here && v.agreed >= 0 && whole >= v.terms.Lease && !slices.Equal(names, v.witness.Names) &&
+	ok = here && v.agreed >= 0 && v.now-v.agreed >= v.terms.Lease && !slices.Equal(names, v.witness.Names) &&
 		(v.witness.Revision == 0 || 2*kept > len(v.witness.Names))
 	return names, v.witness.Revision, ok
 }
@@ -138,8 +136,8 @@
 func (v *View) Size() int {
 	size := len(v.Counted())
 	if side := v.Side(); side == Smaller || side == CantTell {
-		for name, m := range v.members {
-			if name != v.self.Name && m.State == Failed {
+		for _, m := range v.members {
+			if m.State == Failed {
 				size++
 			}
 		}
@@ -151,9 +149,7 @@
 func (v *View) Members() []Member {
 	var all []Member
 	for _, name := range slices.Sorted(maps.Keys(v.members)) {
-		if name != v.self.Name {
-			all = append(all, *v.members[name])
-		}
+		all = append(all, *v.members[name])
 	}
 	return all
 }
