Registry: a change is known within 6 s, whatever call fails, at any number of nodes

Need: a change counts as told 6 s after the service had it and could be reached, whatever call failed. Read in Watch: after a cut the pause was up to Nodes * 0.2 s (60 s with 300 nodes), after refusals up to 30 s, a directory of ours could tell to wait a minute, and after a silence of 2.5 s the pause of a cut came on top.

Change: the pauses are one piece, with the sums of the longest chains beside it: 1.5 s after a cut, 0.5 s after a silence, 2 s after one refusal and 5 s after more, 1 s between other failures, 2.2 s for an answer's head. Half of them is left to chance, so a fleet is spread over them. A sign of life is a whole list or an empty line between two. Lists are read by a JSON decoder, over as many lines as they take.

Known and accepted: 36 nodes at a service that has no room for them ask 10 times a second in all, 2 to 5 before.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -4,7 +4,6 @@
 package registry
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -20,22 +19,28 @@
 	"starlingusher/fleet/catalog"
 )
 
+// A change counts as told to a node 6 s after the service had it and could be reached, whatever call failed. These add up to
+// less than that at any size of the fleet: see pauses.
 const (
-	maxListLine = 16 << 20
-	// An empty line comes every 2 s. A watch without one has died, though its connection may not show it, and what
-	// changes counts as told to a node 4 s later all the same. A new watch is answered at once.
+	maxList = 16 << 20 // bytes of one list
+	// An empty line comes every 2 s. A watch without one has died, though its connection may not show it.
 	watchSilence = 2500 * time.Millisecond
+	// A new watch is answered at once. One that does not come so far as its answer's head in this time is asked for anew;
+	// some services say 503 only after 2 s.
+	answerTime = 2200 * time.Millisecond
 	// For so long another server that tells no history is given to catch up with what was told; then its revisions are
 	// taken to count something else. What changes counts as told 4 s after a move.
 	catchUpTime = 2 * time.Second
-	// A service that cuts watches or refuses asks has more of them than it can answer, and most nodes of the fleet
-	// ask again then. Between them that should be some asks a second: with pauses of a second or two for each node
-	// the asks alone kept it so for good. Told of a change a node counts as some seconds later in any case.
+	// A service that cuts watches or refuses asks has more of them than it can answer, and most nodes of the fleet ask
+	// again then. Between them that should be some asks a second, as far as the 6 s have room for it.
 	askEvery     = 200 * time.Millisecond // of all nodes together
-	longestAsk   = 20 * time.Second
-	longestBack  = time.Minute // that a service may tell to wait
+	afterCut     = 1500 * time.Millisecond
+	afterSilence = 500 * time.Millisecond // its end is known late enough
+	firstRefusal = 2 * time.Second        // at most after one refusal; it may be a passing one
+	nextRefusal  = 5 * time.Second        // after more of them the service is past its room
+	longestBack  = 3 * time.Second        // that a service may tell to wait; a second is added at random
 	firstBackoff = 50 * time.Millisecond
-	lastBackoff  = 2 * time.Second
+	lastBackoff  = time.Second
 )
 
 // The headers by which a directory of ours tells more than the platform does. historyOf also tells it apart.
@@ -49,6 +54,8 @@
 	ErrBehind = errors.New("the list is older than what was told before")
 	// ErrRefused says that a server had no room for the ask.
 	ErrRefused = errors.New("refused")
+	// errSilent says that a server said nothing for longer than a living one does.
+	errSilent = errors.New("silent")
 )
 
 // Position is how far a caller has been told, and by whose count.
@@ -123,20 +130,47 @@
 // Backoff is a pause that doubles, with half of it left to chance so that callers don't return in step.
 type Backoff time.Duration
 
-// Next is the next pause, from 25 ms to 2 s.
+// Next is the next pause, from 25 ms to 1 s.
 func (b *Backoff) Next() time.Duration {
 	*b = min(max(2**b, Backoff(firstBackoff)), Backoff(lastBackoff))
 	return time.Duration(*b)/2 + rand.N(time.Duration(*b)/2)
 }
 
-// apart is a pause for one of so many nodes that were refused together: it doubles, and differs from node to node by a
-// factor of three.
-func (b *Backoff) apart(nodes int) time.Duration {
-	first := Backoff(nodes) * Backoff(askEvery)
-	*b = min(max(2**b, first), max(8*first, Backoff(lastBackoff)), Backoff(longestAsk))
-	return time.Duration(*b)/2 + rand.N(time.Duration(*b))
+// pauses are those between a watch's end and the ask for the next one. The longest chains, with the time that an ask may
+// hang: a silence, its pause, an ask that hangs and the first backoff take 5.25 s; a silence, its pause, a refusal and its pause 5 s;
+// a cut, a refusal and theirs 3.5 s. Of a service that went on refusing the news comes 5 s after it has room again, of one that hung or
+// could not be connected to 3.2 s after it can be reached.
+type pauses struct {
+	nodes    int
+	failed   Backoff
+	refusals int // in a row
 }
 
+// after is the pause after a watch that ended by err; told tells that it had brought something.
+func (p *pauses) after(err error, told bool) time.Duration {
+	apart := time.Duration(p.nodes) * askEvery
+	var back *backError
+	switch {
+	case errors.As(err, &back):
+		return back.after + rand.N(time.Second) // they say whole seconds
+	case errors.Is(err, ErrRefused):
+		p.refusals++
+		most := min(2*apart, firstRefusal)
+		if p.refusals > 1 {
+			most = min(apart<<min(p.refusals, 8), nextRefusal)
+		}
+		return most/2 + rand.N(most/2)
+	case told && errors.Is(err, errSilent):
+		return rand.N(min(apart, afterSilence))
+	case told: // it was cut, and the others' with it
+		return rand.N(min(apart, afterCut))
+	}
+	return p.failed.Next()
+}
+
+// news ends what failures have added up to.
+func (p *pauses) news() { p.failed, p.refusals = 0, 0 }
+
 // Sleep waits, and tells whether the context is still alive after it.
 func Sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
@@ -162,7 +196,7 @@
 // Watch follows the list until the context ends, and hands on what it is told. What is not taken ends its watch, and
 // is asked for again. With several addresses it begins at any of them, and goes on to the next when one fails.
 func (w *Watcher) Watch(ctx context.Context, tell func(News) error) {
-	var pause, refused Backoff
+	pause := pauses{nodes: w.Nodes}
 	n := 0
 	if len(w.Addresses) > 1 {
 		n = rand.IntN(len(w.Addresses))
@@ -182,27 +216,18 @@
 			if err := tell(l); err != nil {
 				return err
 			}
-			pause, refused, first, failed = 0, 0, false, 0
+			pause.news()
+			first, failed = false, 0
 			return nil
 		})
 		if ctx.Err() != nil {
 			return
 		}
 		w.Log.Debug("watch ended", "discovery", addr, "err", err)
-		var back *backError
-		wait := pause.Next()
-		failed++
-		switch {
-		case failed < len(w.Addresses): // the next one may do at once
+		wait := pause.after(err, !first)
+		if failed++; failed < len(w.Addresses) { // the next one may do at once
 			wait = rand.N(firstBackoff)
-		case errors.As(err, &back):
-			wait = back.after + rand.N(time.Second) // they say whole seconds
-		case errors.Is(err, ErrRefused):
-			wait = refused.apart(w.Nodes)
-		case !first: // it was cut, and the others' with it
-			wait = rand.N(time.Duration(w.Nodes) * askEvery)
-		}
-		if failed >= len(w.Addresses) {
+		} else {
 			failed = 0
 		}
 		if len(w.Addresses) > 1 {
@@ -233,10 +258,19 @@
 
 // once follows one watch to its end. One that has gone silent is given up: its machine may be gone.
 func (w *Watcher) once(ctx context.Context, addr string, history, after int64, tell func(News) error) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	silence := time.AfterFunc(watchSilence, cancel)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := time.AfterFunc(answerTime, func() { cancel(errSilent) })
 	defer silence.Stop()
+	err := w.follow(ctx, addr, history, after, func() { silence.Reset(watchSilence) }, tell)
+	if errors.Is(context.Cause(ctx), errSilent) {
+		err = fmt.Errorf("watch: %w: %w", errSilent, err)
+	}
+	return err
+}
+
+// follow takes the lists of one watch; alive is called for each sign that the service is there.
+func (w *Watcher) follow(ctx context.Context, addr string, history, after int64, alive func(), tell func(News) error) error {
 	url := fmt.Sprintf("http://%s/registry/instances?watch=1&after=%d", addr, after)
 	if history > 0 {
 		url += fmt.Sprintf("&history=%d", history)
@@ -262,24 +296,52 @@
 			return fmt.Errorf("watch: history %.40q", h)
 		}
 	}
-	lines := bufio.NewScanner(resp.Body)
-	lines.Buffer(make([]byte, 0, 16<<10), maxListLine)
-	for lines.Scan() {
-		silence.Reset(watchSilence)
+	alive()
+	heard := func() {
+		alive()
 		if w.Heard != nil {
 			w.Heard()
 		}
-		line := bytes.TrimSpace(lines.Bytes())
-		if len(line) == 0 {
-			continue
-		}
+	}
+	body := &lists{r: resp.Body, empty: heard}
+	in := json.NewDecoder(body)
+	for {
+		body.left, body.between = maxList, blank(in.Buffered())
 		news.List = catalog.List{}
-		if err := json.Unmarshal(line, &news.List); err != nil {
+		if err := in.Decode(&news.List); err != nil {
 			return fmt.Errorf("watch: %w", err)
 		}
+		heard()
 		if err := tell(news); err != nil {
 			return err
 		}
 	}
-	return errors.Join(lines.Err(), io.EOF)
+}
+
+// lists reads the body of a watch. A list may stand on one line or on several, so only what stands between two of them is
+// a sign of life; one that trickles is none until it is there.
+type lists struct {
+	r       io.Reader
+	empty   func() // is called for empty lines
+	between bool   // the last list has ended and the next one has not begun
+	left    int    // bytes that the next list may yet take
+}
+
+func (l *lists) Read(p []byte) (int, error) {
+	if l.left <= 0 {
+		return 0, fmt.Errorf("a list of more than %d bytes", maxList)
+	}
+	n, err := l.r.Read(p[:min(len(p), l.left)])
+	if l.between = l.between && len(bytes.TrimSpace(p[:n])) == 0; !l.between {
+		l.left -= n
+	} else if bytes.IndexByte(p[:n], '\n') >= 0 {
+		l.empty()
+	}
+	return n, err
+}
+
+// blank tells that what is left of a decoder's reading is empty lines.
+func blank(r io.Reader) bool {
+	left, err := io.ReadAll(r) // of memory
+	return err == nil && len(bytes.TrimSpace(left)) == 0
 }
