Clients: connections end by a half-close, and a leaving node serves who crossed its close

Need: requests that come in the instant of a close. Read in serveConn and end: all but error answers ended by Close, and over bytes that came after the last look that is a reset, which may take the last answer along. With all places taken by half requests nobody was served for 0.8 s, while clients wait for 0.4.

Change: every connection that the node ends is ended for sending, read to its end without heed, and closed. A leaving node hangs up on idle connections at 3.0 s, accepts for 0.1 s more, empties the accept queue and then closes the listener; half-read requests get a last look. The request that has taken longest gives its place up when no idle connection can, after 0.1 s. Sessions stand in lists by what they do.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -39,11 +39,15 @@
 	idleTimeout    = 2 * time.Second
 	acceptPause    = 50 * time.Millisecond  // when a connection could not be taken
 	requestTimeout = 800 * time.Millisecond // from a request's first byte to its last, and to write an answer
-	closeGrace     = 250 * time.Millisecond // for requests that are half read when the node leaves
-	lingerTimeout  = 300 * time.Millisecond // in which a client may read why it is being hung up on
+	crossTime      = 100 * time.Millisecond // for requests that crossed the close of their connection and come on a new one
+	closeGrace     = 200 * time.Millisecond // for requests that are half read when the node leaves
+	lingerTimeout  = 300 * time.Millisecond // in which a client may read its last answer, and see that nothing more is taken
+	lingerLeaving  = 150 * time.Millisecond // when the node leaves,
+	lingerAsked    = 5 * time.Millisecond   // and when others wait for the place
 	lookTime       = time.Millisecond
-	maxLooks       = 64                    // reads past the deadline, each of what had come by then
-	evictPause     = 20 * time.Millisecond // for a place that was asked back
+	maxLooks       = 64                     // reads past the deadline, each of what had come by then
+	evictPause     = 20 * time.Millisecond  // for a place that was asked back
+	evictHalf      = 100 * time.Millisecond // so long a request may take before its place is asked back
 )
 
 // request is one message as a client hands it in.
@@ -281,7 +285,9 @@
 	readAt time.Time // when the last bytes came
 	looks  int
 	used   bool           // it has had an answer
-	place  *queue.Element // among those with no request open
+	asked  bool           // others wait for its place
+	begun  time.Time      // when its request began
+	place  *queue.Element // in one of the clients' lists
 }
 
 // Read flushes first: the client may be waiting for those answers. A deadline that passed while the process did
@@ -326,6 +332,14 @@
 	return s.flush()
 }
 
+// The lists of sessions, in the order in which they are asked for their place.
+const (
+	ended = iota // hung up on
+	fresh        // with no request open, and never answered
+	idle         // with no request open
+	half         // in the midst of reading one
+)
+
 // clients serves the node's clients.
 type clients struct {
 	ln     net.Listener
@@ -336,18 +350,21 @@
 	names  wire.Names
 	hand   func(request) answer
 
-	mu     sync.Mutex
-	open   map[*session]bool
-	idle   [2]queue.List // sessions with no request open, oldest first: those never answered, and the others
-	closed bool
-	wg     sync.WaitGroup
-	once   sync.Once
+	cross, request time.Duration // crossTime and requestTimeout, but in tests
+
+	mu      sync.Mutex
+	open    map[*session]bool
+	lists   [4]queue.List // by what their sessions do, each in the order in which they began
+	leaving bool
+	grace   time.Duration // for requests, when leaving
+	wg      sync.WaitGroup
+	once    sync.Once
 }
 
 func newClients(ln net.Listener, most int, names wire.Names, hand func(request) answer) *clients {
 	return &clients{
 		ln: ln, room: make(chan struct{}, max(most, 1)), keep: max(most/3, 1), stop: make(chan struct{}), served: make(chan struct{}),
-		names: names, hand: hand, open: map[*session]bool{},
+		names: names, hand: hand, open: map[*session]bool{}, cross: crossTime, request: requestTimeout,
 	}
 }
 
@@ -355,7 +372,7 @@
 // longest is asked back, and the next connection waits in the backlog until it is.
 func (c *clients) serve(ctx context.Context) {
 	defer close(c.served)
-	for {
+	for last := false; ; {
 		for taken := false; !taken; {
 			select {
 			case c.room <- struct{}{}:
@@ -374,11 +391,17 @@
 		nc, err := c.ln.Accept()
 		if err != nil {
 			<-c.room
-			if errors.Is(err, net.ErrClosed) || !registry.Sleep(ctx, acceptPause) { // out of descriptors, most likely
-				return
+			switch {
+			case errors.Is(err, os.ErrDeadlineExceeded) && !last: // the node leaves; who has come by now is served
+				last = c.acceptUntil(time.Now().Add(lookTime)) == nil
+			case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, net.ErrClosed), !registry.Sleep(ctx, acceptPause):
+				return // but for these it is out of descriptors, most likely
 			}
 			continue
 		}
+		if last { // there may be more
+			c.acceptUntil(time.Now().Add(lookTime))
+		}
 		c.wg.Go(func() {
 			defer func() { <-c.room }()
 			c.serveConn(nc)
@@ -386,42 +409,61 @@
 	}
 }
 
-// evict asks the longest idle session to give its place back. Those that never asked for anything go first.
+// acceptUntil ends accepting at a time, where the listener can do that.
+func (c *clients) acceptUntil(until time.Time) error {
+	ln, ok := c.ln.(interface{ SetDeadline(time.Time) error })
+	if !ok {
+		return c.ln.Close()
+	}
+	return ln.SetDeadline(until)
+}
+
+// evict asks for a session's place. Those that never asked for anything go first, then the longest idle. With none of these,
+// the one that has been longest about its request goes: they may all be such as never end.
 func (c *clients) evict() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for i := range c.idle {
-		if c.idle[i].Len() > 0 {
-			c.askBack(&c.idle[i])
-			return
+	for i := range c.lists {
+		first := c.lists[i].Front()
+		if first == nil || (i == half && time.Since(first.Value.(*session).begun) < evictHalf) {
+			continue
 		}
+		c.askBack(&c.lists[i])
+		return
 	}
 }
 
-// askBack ends the longest idle session of a list that holds one; the lock is held.
-func (c *clients) askBack(idle *queue.List) {
-	s := idle.Front().Value.(*session)
+// askBack ends the session that a list has held longest; the lock is held.
+func (c *clients) askBack(list *queue.List) {
+	s := list.Front().Value.(*session)
 	c.unplace(s)
+	s.asked = true
 	s.SetReadDeadline(time.Unix(1, 0)) // not closed from here: see Read
 }
 
 // rest puts a session among the idle ones, and tells whether it may go on. Clients may have only so many connections
 // themselves: where most ask once and then keep theirs, all that they may open were idle ones here, and nobody could
 // hand anything in. So those idle longest go once there are more than keep. It guards as well against pools that
-// never shrink; clients that take turns on more connections than that pay with new ones.
+// never shrink; clients that take turns on more connections than that pay with new ones. When the node leaves, one that
+// was accepted since may hand in one request.
 func (c *clients) rest(s *session) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || s.SetReadDeadline(time.Now().Add(idleTimeout)) != nil {
+	patience, list := idleTimeout, &c.lists[fresh]
+	switch {
+	case c.leaving && s.used:
 		return false
+	case c.leaving:
+		patience = c.grace
+	case s.used:
+		list = &c.lists[idle]
 	}
-	i := 0
-	if s.used {
-		i = 1
+	if s.SetReadDeadline(time.Now().Add(patience)) != nil {
+		return false
 	}
-	s.place, s.looks = c.idle[i].PushBack(s), 0
-	if c.idle[1].Len() > c.keep {
-		c.askBack(&c.idle[1])
+	s.place, s.looks, s.asked = list.PushBack(s), 0, false
+	if c.lists[idle].Len() > c.keep {
+		c.askBack(&c.lists[idle])
 	}
 	return true
 }
@@ -431,14 +473,27 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.unplace(s)
-	s.looks = 0
-	return s.SetReadDeadline(time.Now().Add(requestTimeout)) == nil
+	s.looks, s.asked, s.begun = 0, false, time.Now()
+	s.place = c.lists[half].PushBack(s)
+	patience := c.request
+	if c.leaving {
+		patience = min(patience, c.grace)
+	}
+	return s.SetReadDeadline(s.begun.Add(patience)) == nil
+}
+
+// read takes a session out whose request is read: it has its place until that is answered.
+func (c *clients) read(s *session) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unplace(s)
 }
 
+// unplace takes a session out of its list; the lock is held.
 func (c *clients) unplace(s *session) {
 	if s.place != nil {
-		for i := range c.idle {
-			c.idle[i].Remove(s.place) // of the list that it is not in, this does nothing
+		for i := range c.lists {
+			c.lists[i].Remove(s.place) // of a list that it is not in, this does nothing
 		}
 		s.place = nil
 	}
@@ -459,10 +514,13 @@
 	r := bufio.NewReaderSize(s, 4096)
 	for {
 		if r.Buffered() == 0 && !c.rest(s) {
-			s.flush() // the node leaves
+			c.hangUp(s) // the node leaves
 			return
 		}
 		if _, err := r.Peek(1); err != nil {
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				c.hangUp(s)
+			}
 			return
 		}
 		came := s.readAt
@@ -470,6 +528,7 @@
 			return
 		}
 		args, err := readCommand(r)
+		c.read(s)
 		var line string
 		switch {
 		case err == nil:
@@ -480,8 +539,8 @@
 			if !errors.Is(err, errProtocol) {
 				err = fmt.Errorf("%w: the request took too long", errProtocol)
 			}
-			if s.say(answer{failed: err.Error()}.line()) == nil && s.flush() == nil {
-				c.linger(s)
+			if s.say(answer{failed: err.Error()}.line()) == nil {
+				c.hangUp(s)
 			}
 			return
 		default:
@@ -508,15 +567,31 @@
 	return answer{failed: "unknown command"}.line()
 }
 
-// linger lets the client read the last answer: closing over unread bytes would reset the connection and take
-// the answer with it. Meanwhile its place may be asked back.
-func (c *clients) linger(s *session) {
-	t, ok := s.Conn.(*net.TCPConn)
-	s.used = false // the first to go
-	if !ok || t.CloseWrite() != nil || !c.rest(s) || s.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil {
+// hangUp ends a connection from this side. Whatever the client has sent since the last look is read and taken no heed of: it sees
+// that the connection had ended, and asks elsewhere. To close over unread bytes would reset the connection, and
+// could take the last answer along. Meanwhile its place may be asked back.
+func (c *clients) hangUp(s *session) {
+	if s.flush() != nil {
 		return
 	}
-	io.Copy(io.Discard, io.LimitReader(t, maxSkipped)) // whatever comes, the connection ends next
+	t, ok := s.Conn.(interface{ CloseWrite() error })
+	if !ok || t.CloseWrite() != nil {
+		return
+	}
+	c.mu.Lock()
+	patience := lingerTimeout
+	switch {
+	case c.leaving:
+		patience = lingerLeaving
+	case s.asked:
+		patience = lingerAsked
+	}
+	s.place = c.lists[ended].PushBack(s) // the first to go
+	err := s.SetReadDeadline(time.Now().Add(patience))
+	c.mu.Unlock()
+	if err == nil {
+		io.Copy(io.Discard, io.LimitReader(s.Conn, maxSkipped)) // whatever comes, the connection ends next
+	}
 }
 
 // close stops accepting, hangs up on clients between requests, and lets the others have their answer first. A
@@ -525,25 +600,41 @@
 	c.once.Do(func() { c.end(grace) })
 }
 
+// end hangs up on who is idle while the listener still takes connections, for a request that crosses it comes again on a new
+// one. Then it takes on who waits to be accepted, and closes the listener.
 func (c *clients) end(grace time.Duration) {
-	close(c.stop)
-	c.ln.Close()
-	<-c.served
 	c.mu.Lock()
-	c.closed = true
-	for i := range c.idle {
-		for e := c.idle[i].Front(); e != nil; e = e.Next() {
+	c.leaving, c.grace = true, grace
+	for _, i := range []int{fresh, idle} {
+		for e := c.lists[i].Front(); e != nil; e = e.Next() {
 			e.Value.(*session).SetReadDeadline(time.Unix(1, 0)) // see Read
 		}
 	}
 	c.mu.Unlock()
+	if c.acceptUntil(time.Now().Add(c.cross)) == nil {
+		select {
+		case <-c.served:
+		case <-time.After(c.cross + grace): // all places are taken
+		}
+	}
+	close(c.stop)
+	c.ln.Close()
+	<-c.served
 	slow := time.AfterFunc(grace, func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		for s := range c.open {
-			s.Close()
+		for e := c.lists[half].Front(); e != nil; e = e.Next() {
+			e.Value.(*session).SetReadDeadline(time.Unix(1, 0)) // what has come whole by now is taken
 		}
 	})
 	defer slow.Stop()
+	stuck := time.AfterFunc(2*grace+lingerLeaving, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		for s := range c.open {
+			s.Close() // it does not even take its answers
+		}
+	})
+	defer stuck.Stop()
 	c.wg.Wait()
 }
--- a/internal/node/clients_test.go
+++ b/internal/node/clients_test.go
@@ -278,7 +278,7 @@
 			t.Fatalf("client %d: %q, %v", i, line, err)
 		}
 		c.mu.Lock()
-		idle := c.idle[1].Len()
+		idle := c.lists[idle].Len()
 		c.mu.Unlock()
 		if idle > keep {
 			t.Fatalf("%d are idle after client %d, %d at most", idle, i, keep)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -30,6 +30,7 @@
 	// the node will leave, and sends what can end before that. All the while messages are taken on: the journal has
 	// them for the next start.
 	leaveAfter = 3200 * time.Millisecond
+	closeAfter = 3 * time.Second // clients are hung up on from then on, which takes 0.1 s, and half a second with such as are slow
 )
 
 // attempt names a call that is out, by the journal's number of its message: an id may come again while a call
@@ -226,9 +227,11 @@
 			return
 		}
 		n.stage.Store(leaving)
-		n.tell(life, choice.Leaving{By: n.now() + leaveAfter})
-		registry.Sleep(life, leaveAfter)
+		leaveBy := time.Now().Add(leaveAfter)
+		n.tell(life, choice.Leaving{By: n.at(leaveBy)})
+		registry.Sleep(life, closeAfter)
 		clients.close(closeGrace) // those inside a request get their answers from the loop, which still runs
+		registry.Sleep(life, time.Until(leaveBy))
 	})
 	n.loop(life, gone)
 
