Calls: a connection that comes up when its call was given up carries no byte of it

Need: between the dial's success and the write only drains, waits and windows were looked at. A call whose time was up just then was written, since the deadline that ends it is set by another goroutine. Its message may be over by then.

Change: the call's end is looked at before the first byte as well; the connection is kept for the next call.

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -158,8 +158,8 @@
 		}
 	}
 	// A dial takes up to a second, and more where the path is cut for a while: a wait told, a drain heard of or a
-	// message whose time is up meanwhile forbids the first byte.
-	if !c.mayBegin() {
+	// message whose time is up meanwhile forbids the first byte. So does a call that was given up as the connection came up.
+	if ctx.Err() != nil || !c.mayBegin() {
 		p.give(c.endpoint, k)
 		return result{outcome: choice.Stale}
 	}
--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -639,3 +639,32 @@
 		t.Errorf("got %+v", got)
 	}
 }
+
+// A connection that comes up when its call has been given up carries no byte of it.
+func TestConnectionComesUpTooLate(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	got := make(chan int, 1)
+	go func() {
+		nc, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		n, _ := io.Copy(io.Discard, nc)
+		got <- int(n)
+	}()
+	e := endpointAt(ln.Addr().String())
+	p := newPool(time.Second, time.Second, 4)
+	p.dialer = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		<-ctx.Done()
+		return net.Dial(network, addr)
+	}
+	res := p.do(t.Context(), call{items: []item{{ID: "a"}}, endpoint: e, notPast: time.Now().Add(20 * time.Millisecond)})
+	p.close()
+	if n := <-got; n > 0 || res.outcome != choice.Stale {
+		t.Errorf("%d bytes were written, outcome %v", n, res.outcome)
+	}
+}
