Discovery: zones that the settings don't name are told apart

Need: all zones that the settings don't name were zone -1. Where only the endpoints of one zone drop a message's repeats, a repeat could go from one such zone to another, which is a second effect.

Change: such a zone gets a negative number from its name.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"hash/crc32"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -22,8 +23,12 @@
 		if !ok {
 			phase = choice.Draining
 		}
+		zone := slices.Index(names.Zones, m.Locality)
+		if zone < 0 { // not in the settings; two such may be two zones, and a repeat must not go from one to the other
+			zone = -1 - int(crc32.ChecksumIEEE([]byte(m.Locality)))
+		}
 		out = append(out, choice.Entry{
-			Endpoint: m.ID, Zone: slices.Index(names.Zones, m.Locality), Kind: slices.Index(names.Kinds, m.Flavor),
+			Endpoint: m.ID, Zone: zone, Kind: slices.Index(names.Kinds, m.Flavor),
 			Dest: m.Cell, Phase: phase, Weight: m.Size,
 		})
 	}
