Descriptors: calls and kept connections go by what clients and operators leave

Need: clients may fill their half of the descriptors at any time. Kept connections took up to a quarter and calls as many as there are slots, whatever their number: with 256 descriptors and more than 32 slots the node could pass its limit, and a dial that fails for that reads like an outage of its partner. Without a limit in the configuration one client at a time was served.

Change: one piece shares the descriptors out; slots and kept connections are bounded by what is left. Where no limit is named the least that a platform gives is taken.

Measured: by arithmetic in a test, 256 to 4,096 descriptors and 0 to 5,000 slots.

--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("operators' address: %w", err)
 	}
-	a.ln = &callers{Listener: ln, most: max(cfg.Limits.Sockets/16, 4), open: map[*caller]bool{}}
+	a.ln = &callers{Listener: ln, most: max(cfg.Limits.Sockets/operatorsPart, 4), open: map[*caller]bool{}}
 	a.srv = &http.Server{
 		Handler: a.handler(), MaxHeaderBytes: adminHeader,
 		ReadHeaderTimeout: adminHeaderTimeout, ReadTimeout: adminTimeout, WriteTimeout: adminTimeout,
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -57,6 +57,10 @@
 		return c, fmt.Errorf("configuration %s: %w", path, err)
 	}
 	c.Settings.FullTold = true // on sockets it is a 503
+	if c.Limits.Sockets <= 0 {
+		c.Limits.Sockets = defaultSockets
+	}
+	c.Settings.Slots, _ = descriptors(c.Limits.Sockets, c.Settings.Slots)
 	if c.Names, err = wire.SettingsNames(c.RawSettings); err != nil {
 		return c, fmt.Errorf("configuration %s: %w", path, err)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -33,6 +33,15 @@
 	closeAfter = 3 * time.Second // clients are hung up on from then on, which takes 0.1 s, and half a second with such as are slow
 )
 
+// Of the descriptors that the process may hold.
+const (
+	defaultSockets = 256 // the least that a platform gives
+	clientsPart    = 2   // the parts of all are halves,
+	operatorsPart  = 16  // and sixteenths
+	ownDescriptors = 24  // journal and its next file, lock, logs, listeners, discovery, notices, the runtime's
+	leastIdle      = 8
+)
+
 // attempt names a call that is out, by the journal's number of its message: an id may come again while a call
 // under it is still out.
 type attempt struct {
@@ -149,10 +158,11 @@
 			cfg.Known, told = l, at
 		}
 	}
+	_, idle := descriptors(max(cfg.Limits.Sockets, 4*leastIdle), cfg.Settings.Slots)
 	return &Node{
 		told: told, kept: kept,
 		cfg: cfg, log: log, journal: j, sender: choice.New(cfg.Settings, seed(cfg.Seed)), start: time.Now(),
-		pool:   newPool(cfg.Settings.DialTimeout, cfg.Settings.ConnIdle, max(cfg.Limits.Sockets/4, 8)),
+		pool:   newPool(cfg.Settings.DialTimeout, cfg.Settings.ConnIdle, idle),
 		events: make(chan any, eventQueue), orders: make(chan order), notices: make(chan []notice), moves: make(chan []string),
 		over: make(chan struct{}), messages: map[string]*past{},
 		out: map[attempt]outCall{}, eps: map[string]*endpoint{}, waits: map[int]*atomic.Int64{},
@@ -160,6 +170,16 @@
 	}, nil
 }
 
+// descriptors shares out what clients, who may fill their half at any time, and operators leave of the process's limit: the
+// node's own get theirs, and what is left holds as many calls at once as there are slots, and connections idle between calls.
+func descriptors(sockets, slots int) (calls, idle int) {
+	left := max(sockets-sockets/clientsPart-sockets/operatorsPart-ownDescriptors, 2*leastIdle)
+	if slots <= 0 || slots > left-leastIdle {
+		slots = left - leastIdle
+	}
+	return slots, min(sockets/4, left-slots)
+}
+
 // Unready tells why the node is not ready to serve, "" if it is. It may be called at any time.
 func (n *Node) Unready() string {
 	if s := n.stage.Load(); s != inService {
@@ -203,7 +223,7 @@
 	parts.Go(func() { n.consult(news) })
 	n.log.Info("serving", "sockets", n.cfg.Limits.Sockets, "memory_mb", n.cfg.Limits.MemoryMB, "disk_mb", n.cfg.Limits.DiskMB,
 		"cores", n.cfg.Limits.Cores, "slots", n.cfg.Settings.Slots, "max_open", n.cfg.Settings.MaxOpen)
-	clients := newClients(ln, n.cfg.Limits.Sockets/2, n.cfg.Names, func(q request) answer { return n.hand(life, q) })
+	clients := newClients(ln, n.cfg.Limits.Sockets/clientsPart, n.cfg.Names, func(q request) answer { return n.hand(life, q) })
 	parts.Go(func() { clients.serve(life) })
 	if n.forebear != nil {
 		forebear := n.forebear
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -1095,3 +1095,16 @@
 		}
 	}
 }
+
+// Whatever the limit and the slots, clients, operators, calls, kept connections and the node's own descriptors fit in it
+// together.
+func TestDescriptorsAreShared(t *testing.T) {
+	for _, sockets := range []int{256, 384, 512, 1024, 4096} {
+		for _, slots := range []int{0, 1, 8, 60, 300, 5000} {
+			calls, idle := descriptors(sockets, slots)
+			if all := sockets/clientsPart + sockets/operatorsPart + ownDescriptors + calls + idle; calls < 1 || idle < 1 || all > sockets {
+				t.Errorf("%d sockets, %d slots: %d calls and %d kept make %d in all", sockets, slots, calls, idle, all)
+			}
+		}
+	}
+}
