Clients: a connection whose idle time is up leaves the list of idle ones

Change: it is taken out first.

Measured: the test fails without it (one session left in the idle list) for an idle time that is up.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -586,6 +586,8 @@
 	case s.asked:
 		patience = lingerAsked
 	}
+	// It may stand among the idle ones, if nobody asked for its place.
+	c.unplace(s)
 	s.place = c.lists[ended].PushBack(s) // the first to go
 	err := s.SetReadDeadline(time.Now().Add(patience))
 	c.mu.Unlock()
--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -272,3 +272,33 @@
 	io.WriteString(nc, enqueue("a", "c=notice,d=8000,dest=7", "b"))
 	expect(t, br, "+OK\r\n")
 }
+
+// However a connection ends, nothing is left of it in the lists: what is left there would be asked for its place for ever.
+func TestEndedSessionsLeaveTheLists(t *testing.T) {
+	for name, end := range map[string]func(net.Conn, *session){
+		"its idle time is up": func(_ net.Conn, s *session) { s.SetReadDeadline(time.Unix(1, 0)) },
+		"the client goes":     func(client net.Conn, _ *session) { client.Close() },
+		"half a request": func(client net.Conn, s *session) {
+			io.WriteString(client, "*5\r\n$7\r\nENQ")
+			client.(*net.TCPConn).CloseWrite()
+		},
+		"no request": func(client net.Conn, _ *session) { io.WriteString(client, "*9\r\n") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, addr := hooked(t, 5, &hookedListener{}, func(request) answer { return answer{} }, nil)
+			client, br := dialTest(t, addr)
+			io.WriteString(client, resp("PING"))
+			expect(t, br, "+PONG\r\n")
+			waitFor(t, c, idle, 1)
+			c.mu.Lock()
+			s := c.lists[idle].Front().Value.(*session)
+			c.mu.Unlock()
+			end(client, s)
+			io.Copy(io.Discard, br)
+			client.Close()
+			for list := range c.lists {
+				waitFor(t, c, list, 0)
+			}
+		})
+	}
+}
