Registry: empty lines are not handed to the decoder, which keeps them until the next list

Change: what stands between two lists is a sign of life and goes no further.

Measured: by reading the decoder; the tests of the client pass.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -331,13 +331,19 @@
 	if l.left <= 0 {
 		return 0, fmt.Errorf("a list of more than %d bytes", maxList)
 	}
-	n, err := l.r.Read(p[:min(len(p), l.left)])
-	if l.between = l.between && len(bytes.TrimSpace(p[:n])) == 0; !l.between {
-		l.left -= n
-	} else if bytes.IndexByte(p[:n], '\n') >= 0 {
-		l.empty()
+	for {
+		n, err := l.r.Read(p[:min(len(p), l.left)])
+		if l.between = l.between && len(bytes.TrimSpace(p[:n])) == 0; !l.between {
+			l.left -= n
+			return n, err
+		}
+		if bytes.IndexByte(p[:n], '\n') >= 0 {
+			l.empty()
+		}
+		if err != nil {
+			return 0, err
+		} // else it is not handed on, for a decoder keeps what stands before a list until that is there
 	}
-	return n, err
 }
 
 // blank tells that what is left of a decoder's reading is empty lines.
