Capacity: what the target fleet costs and where the program ends, worked out

The size of TARGET.md had no page that says which part of it today's program carries. fleet/capacity is the arithmetic: a target and the slopes that scale runs measure, read strictly with lines; a table of rows by role and kind of work with times of failure; for each the figure with its standard error, the budget, the share at which it ends and by what, the place of its mechanism or "missing", how it is known. A missing slope prints missing. `cottonrack capacity` prints it, as JSON too, and brings the tables of docs/CAPACITY.md up to date; a test holds the page to it, and the bounds to the code. No slope has been measured yet; none is made up.

go test -race -count=1 of fleet/capacity and cmd/cottonrack: ok.

--- a/cmd/cottonrack/main.go
+++ b/cmd/cottonrack/main.go
@@ -37,6 +37,7 @@
 
 	Directory directoryCmd `cmd:"" help:"Run the list service, and look after it."`
 	Lab       labCmd       `cmd:"" help:"Play experiments with real nodes on this machine, judge them, and compare builds."`
+	Capacity  capacityCmd  `cmd:"" help:"Work out what a fleet costs, and where today's program ends."`
 	Version   versionCmd   `cmd:"" help:"Print the program's version."`
 }
 
--- /dev/null
+++ b/fleet/capacity/print.go
@@ -0,0 +1,331 @@
+package capacity
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// String is the figure as people read it, with three digits.
+func (q Quantity) String() string {
+	switch q.Unit {
+	case Bytes:
+		return scaled(q.Value, 1000, "B", "KB", "MB", "GB", "TB")
+	case BytesPerS:
+		return scaled(q.Value, 1000, "B/s", "KB/s", "MB/s", "GB/s")
+	case Seconds:
+		switch v := math.Abs(q.Value); {
+		case v >= 2*3600:
+			return digits(q.Value/3600) + " h"
+		case v >= 120:
+			return digits(q.Value/60) + " min"
+		case v >= 1 || v == 0:
+			return digits(q.Value) + " s"
+		case v >= 1e-3:
+			return digits(q.Value*1e3) + " ms"
+		}
+		return digits(q.Value*1e6) + " us"
+	case Cores:
+		if q.Value == 1 {
+			return "1 core"
+		}
+		return digits(q.Value) + " cores"
+	case CountPerS:
+		return digits(q.Value) + "/s"
+	}
+	return digits(q.Value)
+}
+
+// scaled writes a figure in the largest of the units that it has one of.
+func scaled(v, step float64, units ...string) string {
+	i := 0
+	for i < len(units)-1 && math.Abs(v) >= step {
+		v /= step
+		i++
+	}
+	return digits(v) + " " + units[i]
+}
+
+// digits writes a number with three digits, or all of them before the point.
+func digits(v float64) string {
+	if v == 0 {
+		return "0"
+	}
+	places := 2 - int(math.Floor(math.Log10(math.Abs(v))))
+	if places <= 0 {
+		whole := strconv.FormatFloat(math.Abs(v), 'f', 0, 64)
+		for i := len(whole) - 3; i > 0; i -= 3 {
+			whole = whole[:i] + "," + whole[i:]
+		}
+		if v < 0 {
+			whole = "-" + whole
+		}
+		return whole
+	}
+	s := strconv.FormatFloat(v, 'f', places, 64)
+	return strings.TrimRight(strings.TrimRight(s, "0"), ".")
+}
+
+// percent writes a share of the target, rounded down: it is what is carried.
+func percent(share float64) string {
+	const eps = 1e-9 // a share that was solved for may lie a hair under the whole number
+	switch {
+	case share >= 10:
+		return digits(math.Floor(share+eps)) + " times"
+	case share >= 0.1:
+		return strconv.FormatFloat(math.Floor(share*100+eps), 'f', 0, 64) + "%"
+	case share >= 0.001:
+		return strconv.FormatFloat(math.Floor(share*1000+eps)/10, 'f', 1, 64) + "%"
+	}
+	return "under 0.1%"
+}
+
+// figure is what stands in the column of figures.
+func (l Line) figure() string {
+	switch {
+	case l.Figure != nil && l.Error > 0:
+		return l.Figure.String() + " ± " + Quantity{l.Error, l.Figure.Unit}.String()
+	case l.Figure != nil:
+		return l.Figure.String()
+	case l.Known.How == Missing:
+		return "missing"
+	}
+	return "-"
+}
+
+func (l Line) budget() string {
+	if l.Budget == nil {
+		return "-"
+	}
+	return l.Budget.String()
+}
+
+// end is what stands in the column of ends.
+func (l Line) end() string {
+	switch {
+	case l.End.Nothing:
+		return "nothing"
+	case l.End.Share == nil && l.Bounded:
+		return "missing"
+	case l.End.Share == nil:
+		return "-"
+	}
+	text := percent(*l.End.Share)
+	if *l.End.Share < 10 {
+		text += " of"
+	}
+	text += " the " + string(l.Axis)
+	switch {
+	case l.End.Beyond:
+		return "past " + text
+	case l.End.AtMost:
+		return "at most " + text
+	}
+	return text
+}
+
+func (l Line) ending() string {
+	switch {
+	case l.End.Nothing:
+		return l.End.By
+	case l.End.Share == nil, l.End.Beyond:
+		return "-"
+	}
+	return string(l.End.Ending) + ": " + l.End.By
+}
+
+// String is how it is known.
+func (k Known) String() string {
+	s := string(k.How)
+	switch k.How {
+	case Past:
+		s = "worked out, " + digits(k.Times) + " times past what was measured"
+		if k.Times == 0 {
+			s = "worked out, " + digits(k.Below) + " times below what was measured"
+		}
+	case Missing:
+		s = "missing: " + strings.Join(k.Missing, ", ")
+	}
+	if len(k.Guessed) > 0 && k.How != Missing {
+		s = "guessed (" + strings.Join(k.Guessed, ", ") + "); " + s
+	}
+	return s
+}
+
+func (l Line) what() string {
+	if l.Owned {
+		return "— with ownership"
+	}
+	return l.What
+}
+
+// Section is a table with its name on the page.
+type Section struct {
+	Name  string
+	Title string
+	Table string // Markdown, one line a row
+}
+
+// Sections are the tables, in their order on the page.
+func (r Report) Sections() []Section {
+	all := []Section{{"target", "The target", r.targetTable()}}
+	for _, s := range []struct {
+		name string
+		role Role
+	}{{"node-control", NodeControl}, {"node-own", NodeOwn}, {"directory", Directory}, {"follower", Follower}, {"operators", Operators}, {"failures", Failure}} {
+		all = append(all, Section{s.name, upper(string(s.role)), r.roleTable(s.role)})
+	}
+	return append(all, Section{"order", "What ends first", r.orderTable()}, Section{"roadmap", "What waits for what", r.stepsTable()},
+		Section{"slopes", "Slopes", r.slopesTable()}, Section{"bounds", "Bounds in the code", r.factsTable()})
+}
+
+func upper(s string) string { return strings.ToUpper(s[:1]) + s[1:] }
+
+func table(head []string, rows [][]string) string {
+	var b strings.Builder
+	line := func(cells []string) { fmt.Fprintf(&b, "| %s |\n", strings.Join(cells, " | ")) }
+	line(head)
+	line(slices.Repeat([]string{"---"}, len(head)))
+	for _, r := range rows {
+		for i := range r {
+			r[i] = strings.ReplaceAll(strings.ReplaceAll(r[i], "|", "\\|"), "\n", " ")
+		}
+		line(r)
+	}
+	return b.String()
+}
+
+func (r Report) roleTable(role Role) string {
+	var rows [][]string
+	for _, l := range r.Lines {
+		if l.Role == role {
+			rows = append(rows, []string{string(l.Kind), l.what(), l.figure(), l.budget(), l.end(), l.ending(), code(l.Mechanism), l.Known.String(), l.Formula})
+		}
+	}
+	return table([]string{"kind", "what", "at the target", "budget", "ends at", "what ends it", "carried by", "known", "worked out as"}, rows)
+}
+
+func code(place string) string {
+	if place == "missing" {
+		return place
+	}
+	return "`" + strings.ReplaceAll(place, ", ", "`, `") + "`"
+}
+
+func (r Report) targetTable() string {
+	var rows [][]string
+	v := reflect.ValueOf(r.Target)
+	for i := range v.NumField() {
+		if v.Field(i).Kind() != reflect.Struct {
+			continue
+		}
+		for k := range v.Field(i).NumField() {
+			name := v.Type().Field(i).Tag.Get("toml") + "." + v.Field(i).Type().Field(k).Tag.Get("toml")
+			from := "given"
+			if slices.Contains(r.Target.Guessed, name) {
+				from = "guessed"
+			}
+			rows = append(rows, []string{name, digits(v.Field(i).Field(k).Float()), from})
+		}
+	}
+	t := r.Target
+	for _, w := range []struct {
+		what string
+		v    float64
+		unit Unit
+	}{
+		{"endpoints", t.Endpoints(), Count}, {"destinations down", t.DestinationsDown(), Count}, {"nodes of a zone", t.NodesZone(), Count},
+		{"nodes of a region", t.NodesRegion(), Count}, {"events of a node", t.EventsPerSNode(), CountPerS}, {"backlog of a node", t.HeldNode(), Count},
+		{"backlog, as time of all events", t.Events.Held / t.Events.PerS, Seconds}, {"one destination meets one node each", t.Destinations.Count * t.Fleet.Nodes / t.Events.PerS, Seconds},
+		{"one change of the configuration each", secondsADay / t.Configuration.ChangesPerDay, Seconds}, {"one restart each", secondsADay / t.Failures.RestartsPerDay, Seconds},
+		{"destinations of a node, with ownership", t.destinationsOwned(), Count},
+	} {
+		rows = append(rows, []string{w.what, Quantity{w.v, w.unit}.String(), "worked out"})
+	}
+	return table([]string{"setting", "value", "known"}, rows)
+}
+
+// orderTable has the rows by where they end, the nearest first; those whose end is not known stand behind them, and what carries the target does not.
+func (r Report) orderTable() string {
+	lines := best(r.Lines)
+	at := func(l Line) float64 {
+		if l.End.Share == nil {
+			return math.Inf(1)
+		}
+		return *l.End.Share
+	}
+	slices.SortStableFunc(lines, func(a, b Line) int { return cmp.Compare(at(a), at(b)) })
+	var rows [][]string
+	carried := 0
+	for _, l := range lines {
+		switch {
+		case l.End.Share != nil && *l.End.Share >= 1 && !l.End.AtMost:
+			carried++
+			continue
+		case l.End.Share == nil && !l.Bounded:
+			continue // nothing ends it that is known
+		}
+		waits := strings.Join(l.WaitsFor, ", ")
+		if waits == "" {
+			waits = "-"
+		}
+		rows = append(rows, []string{l.end(), l.ending(), string(l.Role) + ", " + string(l.Kind) + ": " + l.what(), waits})
+	}
+	rows = append(rows, []string{"the target or more", "", fmt.Sprintf("%d further rows", carried), ""})
+	return table([]string{"ends at", "what ends it", "row", "waits for"}, rows)
+}
+
+func (r Report) stepsTable() string {
+	var rows [][]string
+	for i, s := range r.Steps {
+		least := percent(s.Least)
+		switch {
+		case len(s.Rows) == 0:
+			least = "-"
+		case s.Least == 0:
+			least = "nothing"
+		}
+		needs := strings.Join(s.Needs, ", ")
+		if needs == "" {
+			needs = "-"
+		}
+		rows = append(rows, []string{strconv.Itoa(i + 1), s.Name, code(s.Place), least, strconv.Itoa(len(s.Rows)), strconv.Itoa(s.Near), strconv.Itoa(len(s.Unknown)), needs})
+	}
+	return table([]string{"", "mechanism that is missing", "its place", "least end of a row that waits", "rows that wait", "of them under 1%", "rows with unknown end", "needs first"}, rows)
+}
+
+func (r Report) slopesTable() string {
+	if len(r.Slopes) == 0 {
+		return "None has been measured yet.\n"
+	}
+	var rows [][]string
+	for _, s := range r.Slopes {
+		y := func(v float64) string { return Quantity{v, s.Unit}.String() }
+		form := y(s.At0)
+		if s.Form != Constant {
+			form += " + " + y(s.Slope) + " × x"
+		}
+		if s.Form == Quadratic {
+			form += " + " + y(s.Square) + " × x²"
+		}
+		rows = append(rows, []string{s.ID, s.What, form, "± " + y(s.Spread), digits(s.From) + " to " + digits(s.To) + ", " + s.Per,
+			fmt.Sprintf("%d × %d", s.Points, s.Plays), digits(s.Worst*100) + "%", "`" + s.Run + "`", s.Commit})
+	}
+	return table([]string{"slope", "of what", "figure at x", "spread", "measured x", "points × plays", "missed by", "run", "build"}, rows)
+}
+
+func (r Report) factsTable() string {
+	var rows [][]string
+	for _, f := range r.Facts {
+		setting := "constant"
+		if f.Setting != "" {
+			setting = "setting `" + f.Setting + "`"
+		}
+		rows = append(rows, []string{"`" + f.Name + "`", Quantity{f.Value, f.Unit}.String(), f.What, setting, "`" + f.Place + "`"})
+	}
+	return table([]string{"bound", "value", "of what", "moved by", "place"}, rows)
+}
--- /dev/null
+++ b/fleet/capacity/slope.go
@@ -0,0 +1,202 @@
+package capacity
+
+import (
+	"bytes"
+	"cmp"
+	"errors"
+	"fmt"
+	"math"
+	"regexp"
+	"slices"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Unit is what a figure is counted in.
+type Unit string
+
+// The units.
+const (
+	Bytes     Unit = "B"
+	BytesPerS Unit = "B/s"
+	Seconds   Unit = "s"
+	Cores     Unit = "s/s" // processor time a second
+	Count     Unit = "count"
+	CountPerS Unit = "count/s"
+)
+
+// Form is how a figure grows.
+type Form string
+
+// The forms.
+const (
+	Constant  Form = "constant"
+	Linear    Form = "linear"
+	Quadratic Form = "quadratic"
+)
+
+// Slope is what a scale run has measured: how one figure, y, grows with x.
+type Slope struct {
+	ID     string  `toml:"id" json:"id"`
+	What   string  `toml:"what" json:"what"`
+	Per    string  `toml:"per" json:"per"`   // unit of x
+	Unit   Unit    `toml:"unit" json:"unit"` // of y
+	Form   Form    `toml:"form" json:"form"`
+	At0    float64 `toml:"at0" json:"at0"`
+	Slope  float64 `toml:"slope" json:"slope"`   // 0 if constant
+	Square float64 `toml:"square" json:"square"` // 0 unless quadratic
+	Spread float64 `toml:"spread" json:"spread"` // standard error of the leading coefficient
+	From   float64 `toml:"from" json:"from"`     // measured range of x
+	To     float64 `toml:"to" json:"to"`
+	Points int     `toml:"points" json:"points"`
+	Plays  int     `toml:"plays" json:"plays"`   // at each point
+	Worst  float64 `toml:"worst" json:"worst"`   // largest relative residual, or how far a point that was left out was missed
+	Run    string  `toml:"run" json:"run"`       // the committed table that it comes from
+	Commit string  `toml:"commit" json:"commit"` // the build
+}
+
+// At is y at x, also past the measured range.
+func (s Slope) At(x float64) float64 { return s.At0 + s.Slope*x + s.Square*x*x }
+
+// Past is by how many times x lies above the measured range, and below by how many times under it; 1 within it.
+func (s Slope) Past(x float64) (past, below float64) {
+	past, below = 1, 1
+	switch {
+	case x > s.To:
+		past = x / s.To
+	case x < s.From && x > 0:
+		below = s.From / x
+	}
+	return past, below
+}
+
+// shifted is the slope with its leading coefficient a standard error higher.
+func (s Slope) shifted() Slope {
+	switch s.Form {
+	case Constant:
+		s.At0 += s.Spread
+	case Linear:
+		s.Slope += s.Spread
+	case Quadratic:
+		s.Square += s.Spread
+	}
+	return s
+}
+
+// units are those of the slopes that rows use. A file may hold more.
+var units = map[string]Unit{
+	"node.destinations.heap": Bytes, "node.destinations.rss": Bytes, "node.list.bytes": Bytes, "node.list.step": Seconds,
+	"node.change.step": Seconds, "directory.destinations.rss": Bytes,
+	"directory.nodes.rss": Bytes, "directory.nodes.cpu": Cores, "node.watch.bytes": BytesPerS, "directory.change.last": Seconds,
+	"node.idle.cpu": Cores, "node.idle.heap": Bytes,
+	"node.change.bytes": BytesPerS, "node.change.cpu": Cores, "directory.change.cpu": Cores,
+	"module.held.step": Seconds, "module.held.heap": Bytes, "journal.held.rss": Bytes, "journal.held.file": Bytes, "journal.start": Seconds,
+	"journal.compact.step": Seconds,
+	"node.down.probes":     CountPerS, "node.down.cpu": Cores,
+	"together.ready": Seconds, "together.refused": Count, "directory.together.cpu": Seconds,
+	"directory.failover": Seconds, "directory.follow.rss": Bytes, "directory.follow.cpu": Cores, "directory.follow.last": Seconds,
+	"operator.list.cpu": Seconds, "operator.list.rss": Bytes, "operator.list.time": Seconds,
+	"owned.destinations.heap": Bytes, "owned.list.bytes": Bytes, "owned.list.step": Seconds, "owned.change.step": Seconds,
+	"owned.change.bytes": BytesPerS, "directory.owned.rss": Bytes,
+}
+
+var wellFormedID = regexp.MustCompile(`^[a-z0-9]+(\.[a-z0-9]+)*$`)
+
+type slopeFile struct {
+	Slopes []Slope `toml:"slope"`
+}
+
+// ParseSlopes reads a file of slopes; one without any is well formed. Its errors are of type *Error, all that were
+// found, joined.
+func ParseSlopes(text []byte) ([]Slope, error) {
+	var f slopeFile
+	if err := decode(text, &f); err != nil {
+		return nil, err
+	}
+	where := lines(text)
+	var found []error
+	seen := map[string]bool{}
+	for i, s := range f.Slopes {
+		table := fmt.Sprintf("slope[%d]", i)
+		err := s.check(func(name, format string, args ...any) error {
+			line := where[table+"."+name]
+			if line == 0 {
+				line = where[table]
+			}
+			return &Error{line, fmt.Sprintf("slope %q: ", s.ID) + fmt.Sprintf(format, args...)}
+		})
+		found = append(found, err)
+		if seen[s.ID] {
+			found = append(found, &Error{where[table+".id"], fmt.Sprintf("slope %q stands there twice", s.ID)})
+		}
+		seen[s.ID] = true
+	}
+	return f.Slopes, errors.Join(found...)
+}
+
+// check tells all that is wrong with a slope; bad makes an error of a setting's name and a text.
+func (s Slope) check(bad func(name, format string, args ...any) error) error {
+	var found []error
+	wrong := func(is bool, name, format string, args ...any) {
+		if is {
+			found = append(found, bad(name, format, args...))
+		}
+	}
+	finite := func(v float64) bool { return !math.IsNaN(v) && !math.IsInf(v, 0) }
+	wrong(!wellFormedID.MatchString(s.ID), "id", "its id is words of small letters, with dots between them")
+	wrong(s.What == "", "what", "what is missing")
+	wrong(s.Per == "", "per", "per is missing: the unit of x")
+	wrong(!slices.Contains([]Unit{Bytes, BytesPerS, Seconds, Cores, Count, CountPerS}, s.Unit), "unit",
+		"unit %q is none of B, B/s, s, s/s, count, count/s", s.Unit)
+	want, known := units[s.ID]
+	wrong(known && s.Unit != want, "unit", "it is counted in %s, not in %q", want, s.Unit)
+	wrong(!slices.Contains([]Form{Constant, Linear, Quadratic}, s.Form), "form", "form %q is none of constant, linear, quadratic", s.Form)
+	wrong(s.Form == Constant && s.Slope != 0, "slope", "slope is 0 where the form is constant")
+	wrong(s.Form != Quadratic && s.Square != 0, "square", "square is 0 unless the form is quadratic")
+	for _, c := range []struct {
+		name string
+		v    float64
+	}{{"at0", s.At0}, {"slope", s.Slope}, {"square", s.Square}} {
+		wrong(!finite(c.v), c.name, "%s is no finite number", c.name)
+	}
+	wrong(!(s.Spread >= 0) || !finite(s.Spread), "spread", "spread is 0 or more")
+	wrong(!(s.Worst >= 0) || !finite(s.Worst), "worst", "worst is 0 or more")
+	wrong(!(s.From >= 0) || !(s.To > s.From) || !finite(s.To), "to", "the measured range, from %v to %v, has its ends the wrong way round or is none", s.From, s.To)
+	wrong(s.Points < 1, "points", "points are 1 or more")
+	wrong(s.Plays < 1, "plays", "plays are 1 or more")
+	wrong(s.Run == "", "run", "run is missing: the committed table that it comes from")
+	wrong(s.Commit == "", "commit", "commit is missing: the build")
+	return errors.Join(found...)
+}
+
+const slopesHead = "# Slopes that scale runs have measured, sorted by id; written by `cottonrack lab scale FILE --slopes FILE`, not by hand.\n# What they mean for a fleet: `cottonrack capacity`, docs/CAPACITY.md.\n"
+
+// FormatSlopes writes a file of slopes, sorted by id.
+func FormatSlopes(all []Slope) ([]byte, error) {
+	sorted := slices.Clone(all)
+	slices.SortFunc(sorted, func(a, b Slope) int { return cmp.Compare(a.ID, b.ID) })
+	var b bytes.Buffer
+	b.WriteString(slopesHead)
+	if len(sorted) == 0 {
+		return b.Bytes(), nil
+	}
+	b.WriteString("\n")
+	if err := toml.NewEncoder(&b).Encode(slopeFile{sorted}); err != nil {
+		return nil, fmt.Errorf("slopes: %w", err)
+	}
+	return b.Bytes(), nil
+}
+
+// Replaced is before with what was measured in the place of the slopes of the same ids, sorted.
+func Replaced(before, measured []Slope) []Slope {
+	of := map[string]Slope{}
+	for _, s := range slices.Concat(before, measured) {
+		of[s.ID] = s
+	}
+	var all []Slope
+	for _, s := range of {
+		all = append(all, s)
+	}
+	slices.SortFunc(all, func(a, b Slope) int { return cmp.Compare(a.ID, b.ID) })
+	return all
+}
--- /dev/null
+++ b/fleet/capacity/target.go
@@ -0,0 +1,264 @@
+// Package capacity works out what a fleet of a given size costs, and at which size today's program ends. It takes a
+// target (the fleet's size and what may be spent) and slopes (what a scale run has measured), and holds the table of
+// what is worked out from them. It is arithmetic alone: it touches no files, no clock and no randomness.
+//
+// Bytes are counted by thousands: a KB is 1,000 bytes, an MB 1,000,000.
+package capacity
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math"
+	"reflect"
+	"slices"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+const (
+	secondsADay = 86_400
+	kb, mb      = 1e3, 1e6
+
+	// Slopes by destinations are measured with so many endpoints each; a target with another number has as many
+	// destinations as have its endpoints.
+	endpointsMeasured = 1.7
+)
+
+// Target is the size of a fleet and what it may spend.
+type Target struct {
+	// Guessed names settings of this file that nobody has told, like "list.changes_per_s". What rests on them says so.
+	Guessed []string `toml:"guessed" json:"guessed"`
+
+	Fleet struct {
+		Nodes   float64 `toml:"nodes" json:"nodes"`
+		Regions float64 `toml:"regions" json:"regions"`
+		Zones   float64 `toml:"zones" json:"zones"` // in all
+	} `toml:"fleet" json:"fleet"`
+	Events struct {
+		PerS      float64 `toml:"per_s" json:"per_s"`           // of all nodes
+		Held      float64 `toml:"held" json:"held"`             // the largest backlog, of all nodes
+		BodyBytes float64 `toml:"body_bytes" json:"body_bytes"` // of an event
+		NameBytes float64 `toml:"name_bytes" json:"name_bytes"` // of its id and key
+	} `toml:"events" json:"events"`
+	Destinations struct {
+		Count         float64 `toml:"count" json:"count"`
+		EndpointsEach float64 `toml:"endpoints_each" json:"endpoints_each"`
+		DownShare     float64 `toml:"down_share" json:"down_share"`       // at any time
+		CallsPerS     float64 `toml:"calls_per_s" json:"calls_per_s"`     // that a small one allows the whole fleet
+		ProbeEveryS   float64 `toml:"probe_every_s" json:"probe_every_s"` // while it is down
+		Owners        float64 `toml:"owners" json:"owners"`               // of each, for the lines "with ownership"
+	} `toml:"destinations" json:"destinations"`
+	List struct {
+		ChangesPerS float64 `toml:"changes_per_s" json:"changes_per_s"` // of one endpoint each
+	} `toml:"list" json:"list"`
+	Configuration struct {
+		ChangesPerDay float64 `toml:"changes_per_day" json:"changes_per_day"`
+		InForceS      float64 `toml:"in_force_s" json:"in_force_s"` // everywhere
+	} `toml:"configuration" json:"configuration"`
+	Control struct { // what a node may spend on knowing
+		CoreShare float64 `toml:"core_share" json:"core_share"`
+		MemoryMB  float64 `toml:"memory_mb" json:"memory_mb"`
+		KBPerS    float64 `toml:"kb_per_s" json:"kb_per_s"`
+		Machines  float64 `toml:"machines" json:"machines"` // set aside for the whole fleet
+		Replicas  float64 `toml:"replicas" json:"replicas"` // of the directory, on some of these
+	} `toml:"control" json:"control"`
+	Own struct { // what a node may spend on events
+		AnswerS         float64 `toml:"answer_s" json:"answer_s"`                   // for so long clients wait for an answer
+		HeldMemoryBytes float64 `toml:"held_memory_bytes" json:"held_memory_bytes"` // of an event held
+	} `toml:"own" json:"own"`
+	Failures struct {
+		MachinesPerDay float64 `toml:"machines_per_day" json:"machines_per_day"`
+		RestartsPerDay float64 `toml:"restarts_per_day" json:"restarts_per_day"`
+		ReadyS         float64 `toml:"ready_s" json:"ready_s"` // from a start, also with the whole backlog behind it
+		RegionAloneS   float64 `toml:"region_alone_s" json:"region_alone_s"`
+	} `toml:"failures" json:"failures"`
+}
+
+// Endpoints of all destinations.
+func (t Target) Endpoints() float64 { return t.Destinations.Count * t.Destinations.EndpointsEach }
+
+// DestinationsDown at any time.
+func (t Target) DestinationsDown() float64 { return t.Destinations.Count * t.Destinations.DownShare }
+
+// EventsPerSNode is what one node takes in a second.
+func (t Target) EventsPerSNode() float64 { return t.Events.PerS / t.Fleet.Nodes }
+
+// HeldNode is the largest backlog of one node, events.
+func (t Target) HeldNode() float64 { return t.Events.Held / t.Fleet.Nodes }
+
+// NodesZone are the nodes of a zone, which a rack, a switch or a zone takes along at once.
+func (t Target) NodesZone() float64 { return t.Fleet.Nodes / t.Fleet.Zones }
+
+// NodesRegion are the nodes of a region.
+func (t Target) NodesRegion() float64 { return t.Fleet.Nodes / t.Fleet.Regions }
+
+// destinationsMeasured are the destinations as slopes count them.
+func (t Target) destinationsMeasured() float64 { return t.Endpoints() / endpointsMeasured }
+
+// destinationsOwned is the part of one node where each destination has few owners.
+func (t Target) destinationsOwned() float64 {
+	return t.destinationsMeasured() * t.owners() / t.Fleet.Nodes
+}
+
+func (t Target) owners() float64 { return min(t.Destinations.Owners, t.Fleet.Nodes) }
+
+// Axis is what of a fleet grows while all else stays as the target has it.
+type Axis string
+
+// The axes.
+const (
+	ByDestinations Axis = "destinations"
+	ByNodes        Axis = "nodes" // and with them events and backlog, so that a node's own work stays as it is
+	ByEvents       Axis = "events a second"
+	ByHeld         Axis = "backlog"
+	ByChanges      Axis = "changes"
+	ByAlone        Axis = "time alone"
+)
+
+// Grown is the target with so many times as much of one thing.
+func (t Target) Grown(by Axis, times float64) Target {
+	switch by {
+	case ByDestinations:
+		t.Destinations.Count *= times
+	case ByNodes:
+		t.Fleet.Nodes *= times
+		t.Events.PerS *= times
+		t.Events.Held *= times
+	case ByEvents:
+		t.Events.PerS *= times
+	case ByHeld:
+		t.Events.Held *= times
+	case ByChanges:
+		t.List.ChangesPerS *= times
+		t.Configuration.ChangesPerDay *= times
+	case ByAlone:
+		t.Failures.RegionAloneS *= times
+	}
+	return t
+}
+
+// Error is what is wrong with a file, and where.
+type Error struct {
+	Line int // 0: of the whole file
+	Text string
+}
+
+func (e *Error) Error() string {
+	if e.Line == 0 {
+		return e.Text
+	}
+	return fmt.Sprintf("line %d: %s", e.Line, e.Text)
+}
+
+// ParseTarget reads a target. Each setting has to be there, and be more than 0; a share is at most 1. Its errors are
+// of type *Error, all that were found, joined.
+func ParseTarget(text []byte) (Target, error) {
+	var t Target
+	if err := decode(text, &t); err != nil {
+		return t, err
+	}
+	where := lines(text)
+	var found []error
+	bad := func(name, format string, args ...any) {
+		found = append(found, &Error{where[name], name + fmt.Sprintf(format, args...)})
+	}
+	names := map[string]bool{}
+	tables := reflect.ValueOf(t)
+	for i := range tables.NumField() {
+		table := tables.Type().Field(i).Tag.Get("toml")
+		if tables.Field(i).Kind() != reflect.Struct {
+			continue
+		}
+		for k := range tables.Field(i).NumField() {
+			name := table + "." + tables.Field(i).Type().Field(k).Tag.Get("toml")
+			names[name] = true
+			switch v := tables.Field(i).Field(k).Float(); {
+			case where[name] == 0:
+				bad(name, " is missing")
+			case !(v > 0) || math.IsInf(v, 0):
+				bad(name, " is %v, and has to be more than 0", v)
+			case strings.HasSuffix(name, "_share") && v > 1:
+				bad(name, " is %v, and a share is at most 1", v)
+			}
+		}
+	}
+	for _, name := range t.Guessed {
+		if !names[name] {
+			found = append(found, &Error{where["guessed"], fmt.Sprintf("guessed: there is no setting %q", name)})
+		}
+	}
+	return t, errors.Join(found...)
+}
+
+// decode reads TOML strictly.
+func decode(text []byte, into any) error {
+	d := toml.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	err := d.Decode(into)
+	var strict *toml.StrictMissingError
+	var wrong *toml.DecodeError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &strict):
+		var all []error
+		for _, e := range strict.Errors {
+			row, _ := e.Position()
+			all = append(all, &Error{row, fmt.Sprintf("there is no setting %q", strings.Join(e.Key(), "."))})
+		}
+		return errors.Join(all...)
+	case errors.As(err, &wrong):
+		row, _ := wrong.Position()
+		return &Error{row, strings.TrimPrefix(wrong.Error(), "toml: ")}
+	}
+	return &Error{0, err.Error()}
+}
+
+// lines finds the line of each key, by names like "fleet.nodes" and "slope[1].unit"; the one of an array's table is
+// that of its head. The text has been decoded before.
+func lines(text []byte) map[string]int {
+	where, count, table := map[string]int{}, map[string]int{}, ""
+	var p unstable.Parser
+	p.Reset(text)
+	for p.NextExpression() {
+		e := p.Expression()
+		var parts []string
+		line := 0
+		for it := e.Key(); it.Next(); {
+			parts = append(parts, string(it.Node().Data))
+			if line == 0 {
+				line = p.Shape(it.Node().Raw).Start.Line
+			}
+		}
+		name := strings.Join(parts, ".")
+		switch e.Kind {
+		case unstable.Table:
+			table = name
+		case unstable.ArrayTable:
+			table = fmt.Sprintf("%s[%d]", name, count[name])
+			count[name]++
+		case unstable.KeyValue:
+			if table != "" {
+				name = table + "." + name
+			}
+			where[name] = line
+			continue
+		}
+		where[table] = line
+	}
+	return where
+}
+
+// guesses are those of the names that the target calls guessed.
+func (t Target) guesses(names []string) []string {
+	var some []string
+	for _, n := range names {
+		if slices.Contains(t.Guessed, n) {
+			some = append(some, n)
+		}
+	}
+	return some
+}
--- /dev/null
+++ b/fleet/capacity/work.go
@@ -0,0 +1,420 @@
+package capacity
+
+import (
+	"cmp"
+	"math"
+	"reflect"
+	"slices"
+	"strings"
+)
+
+// Quantity is a figure with its unit.
+type Quantity struct {
+	Value float64 `json:"value"`
+	Unit  Unit    `json:"unit"`
+}
+
+// How is how a figure is known.
+type How string
+
+// The ways.
+const (
+	Measured How = "measured"              // within the range that was measured
+	Past     How = "past the measurements" // worked out beyond that range
+	Told     How = "from the target"       // it needs no slope
+	Missing  How = "missing"               // a slope that it needs is not there
+	NoFigure How = "none"                  // it has none
+)
+
+// Known tells how a figure is known.
+type Known struct {
+	How     How      `json:"how"`
+	Times   float64  `json:"times,omitempty"`   // above the measured range
+	Below   float64  `json:"below,omitempty"`   // times under it, where that is all
+	Missing []string `json:"missing,omitempty"` // slopes
+	Guessed []string `json:"guessed,omitempty"` // what it takes for granted; it is a guess then
+}
+
+// End is where growing ends.
+type End struct {
+	Share   *float64 `json:"share,omitempty"` // of the target along the row's axis; nil: not known
+	Nothing bool     `json:"nothing"`         // there is no mechanism at all, and Share is 0
+	AtMost  bool     `json:"at_most"`         // a slope is missing that may end it sooner
+	Beyond  bool     `json:"beyond"`          // it does not end within Share, which is as far as was looked
+	Ending  Ending   `json:"ending,omitempty"`
+	By      string   `json:"by,omitempty"`
+}
+
+// Line is a row, worked out.
+type Line struct {
+	ID        string    `json:"id"`
+	Role      Role      `json:"role"`
+	Kind      Kind      `json:"kind"`
+	What      string    `json:"what"`
+	Owned     bool      `json:"with_ownership"` // the row once each destination has few owners
+	Formula   string    `json:"formula"`
+	Figure    *Quantity `json:"figure,omitempty"` // at the target; nil: missing or none
+	Error     float64   `json:"standard_error,omitempty"`
+	Budget    *Quantity `json:"budget,omitempty"`
+	OwnCost   bool      `json:"own_cost"` // of a mechanism that does not exist; nothing else waits with it
+	Bounded   bool      `json:"bounded"`  // there is something that may end it
+	Axis      Axis      `json:"axis"`
+	End       End       `json:"end"`
+	Mechanism string    `json:"mechanism"` // its place in the code, or "missing"
+	Known     Known     `json:"known"`
+	Slopes    []string  `json:"slopes,omitempty"`
+	Runs      []string  `json:"runs,omitempty"`
+	WaitsFor  []string  `json:"waits_for,omitempty"`
+}
+
+// Step is a mechanism and what waits for it.
+type Step struct {
+	Mechanism
+	Rows    []string `json:"rows"`    // that end before the target and wait for it, also by way of others; by id. Not those of its own cost
+	Unknown []string `json:"unknown"` // that would, but whose end is not known
+	Least   float64  `json:"least"`   // the least share at which one of Rows ends; 1 without any
+	Near    int      `json:"near"`    // of Rows that end under Alike of the target
+}
+
+// Alike is the share of the target under which ends count as equally near.
+const Alike = 0.01
+
+// Report is all that is worked out.
+type Report struct {
+	Target Target  `json:"target"`
+	Lines  []Line  `json:"lines"`
+	Steps  []Step  `json:"steps"` // in the order of the roadmap
+	Facts  []Fact  `json:"facts"`
+	Slopes []Slope `json:"slopes"`
+}
+
+// reading is what a figure takes from the slopes.
+type reading struct {
+	slopes  map[string]Slope
+	used    []string
+	missing []string
+	past    float64 // the most of all
+	below   float64
+}
+
+// at is a slope's figure at x; NaN if it is missing.
+func (r *reading) at(id string, x float64) float64 {
+	s, ok := r.take(id, x)
+	if !ok {
+		return math.NaN()
+	}
+	return s.At(x)
+}
+
+// rise is by how much a slope's figure at x is more than at none.
+func (r *reading) rise(id string, x float64) float64 {
+	s, ok := r.take(id, x)
+	if !ok {
+		return math.NaN()
+	}
+	return s.At(x) - s.At0
+}
+
+func (r *reading) take(id string, x float64) (Slope, bool) {
+	s, ok := r.slopes[id]
+	list := &r.missing
+	if ok {
+		list = &r.used
+		past, below := s.Past(x)
+		r.past, r.below = max(r.past, past), max(r.below, below)
+	}
+	if !slices.Contains(*list, id) {
+		*list = append(*list, id)
+	}
+	return s, ok
+}
+
+// with is the reading's slopes once more, with one of them another.
+func (r *reading) with(s Slope) *reading {
+	slopes := map[string]Slope{}
+	for id, o := range r.slopes {
+		slopes[id] = o
+	}
+	slopes[s.ID] = s
+	return &reading{slopes: slopes}
+}
+
+// Work works out the whole table.
+func Work(t Target, slopes []Slope) Report {
+	of := map[string]Slope{}
+	for _, s := range slopes {
+		of[s.ID] = s
+	}
+	r := Report{Target: t, Facts: Facts(), Slopes: Replaced(nil, slopes)}
+	for _, row := range rows {
+		r.Lines = append(r.Lines, row.line(t, of))
+		if row.owned != nil {
+			r.Lines = append(r.Lines, row.ownedLine(t, of))
+		}
+	}
+	r.Steps = steps(r.Lines)
+	return r
+}
+
+// ownedLine is the row with ownership.
+func (w row) ownedLine(t Target, slopes map[string]Slope) Line {
+	w.formula, w.figure, w.limits = w.owned.formula, w.owned.figure, w.owned.limits
+	at := slices.IndexFunc(mechanisms, func(m Mechanism) bool { return m.Name == ownership })
+	place := w.place
+	w.place = mechanisms[at].Place // it is worked out how far it would carry
+	l := w.line(t, slopes)
+	l.Owned = true
+	switch {
+	case !mechanisms[at].Built || place == "":
+		l.Mechanism = "missing"
+	default:
+		l.Mechanism = place
+	}
+	return l
+}
+
+// line works a row out.
+func (w row) line(t Target, slopes map[string]Slope) Line {
+	l := Line{ID: w.id, Role: w.role, Kind: w.kind, What: w.what, Formula: w.formula, Axis: w.axis, WaitsFor: w.waits, Mechanism: w.place, OwnCost: w.ownCost, Bounded: w.place == "" || len(w.limits) > 0}
+	if w.place == "" {
+		l.Mechanism = "missing"
+	}
+	for _, b := range w.limits {
+		if b.budget {
+			l.Budget = &Quantity{b.value(t), w.unit}
+		}
+	}
+	r := &reading{slopes: slopes}
+	l.Known.How = NoFigure
+	if w.figure != nil {
+		v := w.figure(t, r)
+		l.Slopes = slices.Concat(r.used, r.missing)
+		slices.Sort(l.Slopes)
+		switch {
+		case len(r.missing) > 0:
+			l.Known.How, l.Known.Missing = Missing, r.missing
+		case len(r.used) == 0:
+			l.Known.How = Told
+		case r.past > 1:
+			l.Known.How, l.Known.Times = Past, r.past
+		case r.below > 1:
+			l.Known.How, l.Known.Below = Past, r.below
+		default:
+			l.Known.How = Measured
+		}
+		if len(r.missing) == 0 {
+			l.Figure = &Quantity{v, w.unit}
+			l.Error = w.spread(t, r, v)
+		}
+		for _, id := range r.used {
+			if run := slopes[id].Run; !slices.Contains(l.Runs, run) {
+				l.Runs = append(l.Runs, run)
+			}
+		}
+	}
+	l.End = w.end(t, slopes)
+	l.Known.Guessed = w.guesses(t, slopes)
+	return l
+}
+
+// spread is the standard error of a figure: those of its slopes, taken as independent.
+func (w row) spread(t Target, r *reading, v float64) float64 {
+	sum := 0.0
+	for _, id := range r.used {
+		d := w.figure(t, r.with(r.slopes[id].shifted())) - v
+		sum += d * d
+	}
+	return math.Sqrt(sum)
+}
+
+// guesses are what a line takes for granted: settings of the target that nobody has told and that move its figure or what ends it, and
+// what its formula supposes.
+func (w row) guesses(t Target, slopes map[string]Slope) []string {
+	var some []string
+	for _, name := range t.Guessed {
+		if !slices.EqualFunc(w.holds(t, slopes), w.holds(moved(t, name), slopes), func(a, b float64) bool { return a == b || math.IsNaN(a) && math.IsNaN(b) }) {
+			some = append(some, name)
+		}
+	}
+	if w.guess != "" {
+		some = append(some, w.guess)
+	}
+	return some
+}
+
+// holds are the row's figure and, of each limit, its bound and what is held against it; NaN where a slope is missing.
+func (w row) holds(t Target, slopes map[string]Slope) []float64 {
+	var all []float64
+	if w.figure != nil {
+		all = append(all, w.figure(t, &reading{slopes: slopes}))
+	}
+	for _, b := range w.limits {
+		all = append(all, b.value(t))
+		if b.amount != nil {
+			all = append(all, b.amount(t, &reading{slopes: slopes}))
+		}
+	}
+	return all
+}
+
+// moved is the target with one of its settings, by its name in the file, a fiftieth less.
+func moved(t Target, name string) Target {
+	table, key, _ := strings.Cut(name, ".")
+	if v := byTag(byTag(reflect.ValueOf(&t).Elem(), table), key); v.IsValid() && v.Kind() == reflect.Float64 {
+		v.SetFloat(v.Float() * 0.98)
+	}
+	return t
+}
+
+// byTag is the field of a struct with such a name in files; none is no valid value.
+func byTag(v reflect.Value, name string) reflect.Value {
+	if v.IsValid() && v.Kind() == reflect.Struct {
+		for i := range v.NumField() {
+			if v.Type().Field(i).Tag.Get("toml") == name {
+				return v.Field(i)
+			}
+		}
+	}
+	return reflect.Value{}
+}
+
+// end is where the row ends: at the first of its limits.
+func (w row) end(t Target, slopes map[string]Slope) End {
+	if w.place == "" {
+		none := 0.0
+		return End{Share: &none, Nothing: true, By: "no mechanism"}
+	}
+	var e End
+	for _, b := range w.limits {
+		amount := b.amount
+		if amount == nil {
+			amount = w.figure
+		}
+		bound := b.value(t)
+		share, beyond, ok := reach(func(share float64) float64 { return amount(t.Grown(w.axis, share), &reading{slopes: slopes}) }, bound)
+		switch {
+		case !ok:
+			e.AtMost = true
+		case e.Share == nil || share < *e.Share:
+			e.Share, e.Beyond, e.Ending, e.By = &share, beyond, b.ending, b.what
+		}
+	}
+	if e.Share == nil {
+		e.AtMost = false // there is nothing that could be said
+	}
+	return e
+}
+
+const (
+	leastLook, mostLook = 1e-7, 1e4 // shares of the target
+)
+
+// reach is the least share at which the amount passes the bound; beyond: it does not up to there. It is not ok if the amount is not known.
+func reach(amount func(share float64) float64, bound float64) (share float64, beyond, ok bool) {
+	if math.IsNaN(amount(1)) {
+		return 0, false, false
+	}
+	low := 0.0
+	for high := leastLook; ; high = min(high*1.5, mostLook) { // a curve may turn: the first crossing is looked for
+		if !(amount(high) > bound) {
+			if low = high; high >= mostLook {
+				return mostLook, true, true
+			}
+			continue
+		}
+		if low == 0 {
+			return 0, false, true // it is past the bound with nothing at all
+		}
+		for range 60 {
+			mid := (low + high) / 2
+			if amount(mid) > bound {
+				high = mid
+			} else {
+				low = mid
+			}
+		}
+		return low, false, true
+	}
+}
+
+// best are the lines by which a row is judged: with ownership where that is built and measured, else as it is.
+func best(lines []Line) []Line {
+	var all []Line
+	for _, l := range lines {
+		if l.Owned {
+			if l.Mechanism != "missing" && l.Known.How != Missing {
+				all[len(all)-1] = l
+			}
+			continue
+		}
+		all = append(all, l)
+	}
+	return all
+}
+
+// steps puts the mechanisms that are not built in the order of the roadmap: first the one for which a row waits that ends at the
+// least part of the target; among alike ones that for which most rows wait; never one before what it needs.
+func steps(lines []Line) []Step {
+	var all []Step
+	for _, m := range mechanisms {
+		if m.Built {
+			continue
+		}
+		s := Step{Mechanism: m, Rows: []string{}, Unknown: []string{}, Least: math.MaxFloat64}
+		for _, l := range best(lines) {
+			if l.OwnCost || !slices.ContainsFunc(l.WaitsFor, func(name string) bool { return name == m.Name || needs(name, m.Name) }) {
+				continue
+			}
+			switch {
+			case l.End.Share == nil && l.Bounded:
+				s.Unknown = append(s.Unknown, l.ID)
+			case l.End.Share != nil && *l.End.Share < 1:
+				s.Rows = append(s.Rows, l.ID)
+				s.Least = min(s.Least, *l.End.Share)
+				if *l.End.Share < Alike {
+					s.Near++
+				}
+			}
+		}
+		if len(s.Rows) == 0 {
+			s.Least = 1
+		}
+		all = append(all, s)
+	}
+	near := func(s Step) float64 {
+		if s.Least < Alike {
+			return 0
+		}
+		return s.Least
+	}
+	slices.SortStableFunc(all, func(a, b Step) int {
+		return cmp.Or(cmp.Compare(near(a), near(b)), -cmp.Compare(len(a.Rows), len(b.Rows)), -cmp.Compare(len(a.Unknown), len(b.Unknown)))
+	})
+	var sorted []Step // with what each needs before it
+	var put func(s Step)
+	put = func(s Step) {
+		if slices.ContainsFunc(sorted, func(o Step) bool { return o.Name == s.Name }) {
+			return
+		}
+		for _, name := range s.Needs {
+			if i := slices.IndexFunc(all, func(o Step) bool { return o.Name == name }); i >= 0 {
+				put(all[i])
+			}
+		}
+		sorted = append(sorted, s)
+	}
+	for _, s := range all {
+		put(s)
+	}
+	return sorted
+}
+
+// needs tells that one mechanism needs another, also by way of others.
+func needs(name, other string) bool {
+	for _, m := range mechanisms {
+		if m.Name == name {
+			return slices.ContainsFunc(m.Needs, func(n string) bool { return n == other || needs(n, other) })
+		}
+	}
+	return false
+}
