--- a/fleet/capacity/rows.go
+++ b/fleet/capacity/rows.go
@@ -234,6 +234,12 @@
 		place: "choice", waits: []string{ownership}},
 	{id: "control.memory.nodes", role: NodeControl, kind: Memory, what: "heap, by nodes of the fleet", unit: Bytes, axis: ByNodes,
 		formula: "node.idle.heap(nodes)", figure: one("node.idle.heap", nodesOf), limits: []limit{controlMemory}, place: "internal/node"},
+	{id: "control.memory.down", role: NodeControl, kind: Memory, what: "heap, by destinations that are down", unit: Bytes, axis: ByDestinations,
+		formula: "rise of node.down.heap(destinations down)",
+		figure:  func(t Target, s *reading) float64 { return s.rise("node.down.heap", t.DestinationsDown()) }, limits: []limit{controlMemory},
+		place: "choice", waits: []string{probing},
+		owned: &owned{"rise of node.down.heap(destinations down × owners / nodes)",
+			func(t Target, s *reading) float64 { return s.rise("node.down.heap", downOwned(t)) }, []limit{controlMemory}}},
 	{id: "control.memory.all", role: NodeControl, kind: Memory, what: "heap, all of it", unit: Bytes, axis: ByDestinations,
 		formula: "node.destinations.heap" + byDestinations + " + rise of node.idle.heap(nodes)",
 		figure: func(t Target, s *reading) float64 {
@@ -270,6 +276,24 @@
 		formula: "events a second / nodes × module.held.step" + byHeld,
 		figure:  func(t Target, s *reading) float64 { return t.EventsPerSNode() * s.at("module.held.step", t.HeldNode()) }, limits: []limit{oneLoop},
 		place: "choice", waits: []string{backlog}},
+	{id: "own.processor.destinations", role: NodeOwn, kind: Processor, what: "events taken while all destinations are known: a step each in which else nothing is new", unit: Cores, axis: ByDestinations,
+		formula: "events a second / nodes × node.empty.step" + byDestinations,
+		figure: func(t Target, s *reading) float64 {
+			return t.EventsPerSNode() * s.at("node.empty.step", t.destinationsMeasured())
+		}, limits: []limit{oneLoop},
+		place: "internal/node", waits: []string{ownership},
+		owned: &owned{"events a second / nodes × owned.empty.step" + byOwned,
+			func(t Target, s *reading) float64 {
+				return t.EventsPerSNode() * s.at("owned.empty.step", t.destinationsOwned())
+			}, []limit{oneLoop}}},
+	{id: "own.processor.down", role: NodeOwn, kind: Processor, what: "events taken while destinations are down", unit: Cores, axis: ByDestinations,
+		formula: "events a second / nodes × node.down.step(destinations down)",
+		figure: func(t Target, s *reading) float64 {
+			return t.EventsPerSNode() * s.at("node.down.step", t.DestinationsDown())
+		}, limits: []limit{oneLoop},
+		place: "choice", waits: []string{probing},
+		owned: &owned{"events a second / nodes × node.down.step(destinations down × owners / nodes)",
+			func(t Target, s *reading) float64 { return t.EventsPerSNode() * s.at("node.down.step", downOwned(t)) }, []limit{oneLoop}}},
 	{id: "own.memory.module", role: NodeOwn, kind: Memory, what: "heap of the module with the backlog held", unit: Bytes, axis: ByHeld,
 		formula: "module.held.heap" + byHeld, figure: one("module.held.heap", Target.HeldNode), limits: []limit{heldMemory}, place: "choice", waits: []string{backlog}},
 	{id: "own.memory.node", role: NodeOwn, kind: Memory, what: "memory of the node with the backlog held, module included", unit: Bytes, axis: ByHeld,
@@ -277,8 +301,8 @@
 		place: "internal/node/journal.go", waits: []string{backlog}},
 	{id: "own.time.event", role: NodeOwn, kind: Time, what: "its loop stands still for one event with the backlog held", unit: Seconds, axis: ByHeld,
 		formula: "module.held.step" + byHeld, figure: one("module.held.step", Target.HeldNode), limits: []limit{answerTime}, place: "choice", waits: []string{backlog}},
-	{id: "own.time.compaction", role: NodeOwn, kind: Time, what: "its loop stands still while the journal is written anew", unit: Seconds, axis: ByHeld,
-		formula: "journal.compact.step" + byHeld, figure: one("journal.compact.step", Target.HeldNode), limits: []limit{answerTime},
+	{id: "own.time.stall", role: NodeOwn, kind: Time, what: "an event's longest wait for its answer, while the journal is written anew", unit: Seconds, axis: ByHeld,
+		formula: "journal.stall" + byHeld, figure: one("journal.stall", Target.HeldNode), limits: []limit{answerTime},
 		place: "internal/node/journal.go", waits: []string{backlog}},
 
 	// A replica of the directory.
@@ -335,6 +359,9 @@
 	{id: "failure.start.backlog", role: Failure, kind: Time, what: "a node's start with the whole backlog behind it", unit: Seconds, axis: ByHeld,
 		formula: "journal.start" + byHeld, figure: one("journal.start", Target.HeldNode), limits: []limit{readyTime},
 		place: "internal/node/journal.go", waits: []string{backlog}},
+	{id: "failure.start.memory", role: Failure, kind: Memory, what: "a node's start with the whole backlog behind it: the most memory that it takes", unit: Bytes, axis: ByHeld,
+		formula: "journal.start.rss" + byHeld, figure: one("journal.start.rss", Target.HeldNode), limits: []limit{heldMemory},
+		place: "internal/node/journal.go", waits: []string{backlog}},
 	{id: "failure.start.list", role: Failure, kind: Time, what: "a node's first list at the bytes a second that it may spend", unit: Seconds, axis: ByDestinations,
 		formula: "node.list.bytes" + byDestinations + " / bytes a second",
 		figure: func(t Target, s *reading) float64 {
--- a/fleet/capacity/slope.go
+++ b/fleet/capacity/slope.go
@@ -13,7 +13,7 @@
 )
 
 // Unit is what a figure is counted in.
-type Unit string
+type Unit = string
 
 // The units.
 const (
@@ -26,7 +26,7 @@
 )
 
 // Form is how a figure grows.
-type Form string
+type Form = string
 
 // The forms.
 const (
@@ -91,12 +91,12 @@
 	"node.idle.cpu": Cores, "node.idle.heap": Bytes,
 	"node.change.bytes": BytesPerS, "node.change.cpu": Cores, "directory.change.cpu": Cores,
 	"module.held.step": Seconds, "module.held.heap": Bytes, "journal.held.rss": Bytes, "journal.held.file": Bytes, "journal.start": Seconds,
-	"journal.compact.step": Seconds,
-	"node.down.probes":     CountPerS, "node.down.cpu": Cores,
+	"journal.stall": Seconds, "journal.start.rss": Bytes, "node.empty.step": Seconds,
+	"node.down.probes": CountPerS, "node.down.cpu": Cores, "node.down.step": Seconds, "node.down.heap": Bytes,
 	"together.ready": Seconds, "together.refused": Count, "directory.together.cpu": Seconds,
 	"directory.failover": Seconds, "directory.follow.rss": Bytes, "directory.follow.cpu": Cores, "directory.follow.last": Seconds,
 	"operator.list.cpu": Seconds, "operator.list.rss": Bytes, "operator.list.time": Seconds,
-	"owned.destinations.heap": Bytes, "owned.list.bytes": Bytes, "owned.list.step": Seconds, "owned.change.step": Seconds,
+	"owned.destinations.heap": Bytes, "owned.list.bytes": Bytes, "owned.list.step": Seconds, "owned.change.step": Seconds, "owned.empty.step": Seconds,
 	"owned.change.bytes": BytesPerS, "directory.owned.rss": Bytes,
 }
 
