Capacity: what is built is not missing any more, and inline tables are read

Once ownership is marked as built, rows go by their line with ownership where that is measured, and nothing is said to need it first. A setting that is missing is told with the line of its table; a table on one line is no longer taken for one without settings.

--- a/fleet/capacity/capacity_test.go
+++ b/fleet/capacity/capacity_test.go
@@ -291,7 +291,59 @@
 	}
 }
 
+// builds lets the mechanisms of these names count as built, and no others, for as long as the test takes.
+func builds(t *testing.T, names ...string) {
+	before := mechanisms
+	t.Cleanup(func() { mechanisms = before })
+	mechanisms = slices.Clone(mechanisms)
+	for i, m := range mechanisms {
+		mechanisms[i].Built = slices.Contains(names, m.Name)
+	}
+}
+
+func TestOwnershipBuilt(t *testing.T) {
+	measured := []Slope{slope("node.destinations.heap", 0, 1000, 100, 400_000), slope("node.list.step", 0, 1e-5, 100, 400_000),
+		slope("node.change.step", 0, 1e-5, 100, 400_000), slope("owned.destinations.heap", 0, 1000, 100, 5000), slope("owned.change.step", 0, 1e-3, 100, 5000)}
+	waits := func() (rows []string, names []string) {
+		for _, s := range Work(theTarget(t), measured).Steps {
+			names = append(names, s.Name)
+			if s.Name == ownership {
+				rows = s.Rows
+			}
+		}
+		return rows, names
+	}
+	builds(t)
+	// The lines with ownership tell how far it would carry, and count for nothing until it is there.
+	l := lineOf(t, Work(theTarget(t), measured), "control.memory.heap", true)
+	if l.Mechanism != "missing" || l.End.Nothing || !near(*l.End.Share, 64e6/(1000*380_000*3/820.0)) {
+		t.Errorf("before it is built: %+v", l)
+	}
+	if rows, _ := waits(); !slices.Contains(rows, "control.memory.heap") || !slices.Contains(rows, "control.time.list") {
+		t.Errorf("before it is built there wait for it %v", rows)
+	}
+	builds(t, ownership)
+	if l := lineOf(t, Work(theTarget(t), measured), "control.memory.heap", true); l.Mechanism != "choice" {
+		t.Errorf("once it is built: %+v", l)
+	}
+	if _, names := waits(); slices.Contains(names, ownership) {
+		t.Errorf("what is built is missing still: %v", names)
+	}
+	table := Work(theTarget(t), measured).orderTable()
+	if strings.Contains(table, "heap, by destinations |") || strings.Contains(table, "heap, by destinations, with ownership |") ||
+		!strings.Contains(table, "its loop stands still for a whole list |") ||
+		!strings.Contains(table, "its loop stands still for one change, with ownership |") {
+		t.Errorf("what is measured with it goes by that, what is not by what it was:\n%s", table)
+	}
+	for _, s := range Work(theTarget(t), measured).Steps {
+		if slices.Contains(s.Needs, ownership) {
+			t.Errorf("%s still needs it first", s.Name)
+		}
+	}
+}
+
 func TestOrder(t *testing.T) {
+	builds(t)
 	r := Work(theTarget(t), nil)
 	at := map[string]int{}
 	for i, s := range r.Steps {
@@ -345,7 +397,8 @@
 		{"nodes = 820", "nodes = -3", "more than 0", nodes},
 		{"nodes = 820", "nodes = nan", "more than 0", nodes},
 		{"nodes = 820", "nodes = inf", "more than 0", nodes},
-		{"nodes = 820", "", "fleet.nodes is missing", 0},
+		{"nodes = 820", "", "fleet.nodes is missing", nodes - 1},
+		{"[fleet]\nnodes = 820\nregions = 3\nzones = 6 ", "", "fleet.zones is missing", 0},
 		{"nodes = 820", "nodes = \"many\"", "", nodes},
 		{"nodes = 820", "nodes = = 820", "", nodes},
 		{"down_share = 0.024", "down_share = 2.4", "a share is at most 1", down},
--- a/fleet/capacity/print.go
+++ b/fleet/capacity/print.go
@@ -273,7 +273,11 @@
 		if waits == "" {
 			waits = "-"
 		}
-		rows = append(rows, []string{l.end(), l.ending(), string(l.Role) + ", " + string(l.Kind) + ": " + l.what(), waits})
+		what := l.What
+		if l.Owned {
+			what += ", with ownership"
+		}
+		rows = append(rows, []string{l.end(), l.ending(), string(l.Role) + ", " + string(l.Kind) + ": " + what, waits})
 	}
 	rows = append(rows, []string{"the target or more", "", fmt.Sprintf("%d further rows", carried), ""})
 	return table([]string{"ends at", "what ends it", "row", "waits for"}, rows)
--- a/fleet/capacity/target.go
+++ b/fleet/capacity/target.go
@@ -163,7 +163,11 @@
 	where := lines(text)
 	var found []error
 	bad := func(name, format string, args ...any) {
-		found = append(found, &Error{where[name], name + fmt.Sprintf(format, args...)})
+		line := where[name]
+		if table, _, _ := strings.Cut(name, "."); line == 0 {
+			line = where[table] // that it is missing from, or that stands on one line
+		}
+		found = append(found, &Error{line, name + fmt.Sprintf(format, args...)})
 	}
 	names := map[string]bool{}
 	tables := reflect.ValueOf(t)
@@ -176,7 +180,7 @@
 			name := table + "." + tables.Field(i).Type().Field(k).Tag.Get("toml")
 			names[name] = true
 			switch v := tables.Field(i).Field(k).Float(); {
-			case where[name] == 0:
+			case where[name] == 0 && v == 0:
 				bad(name, " is missing")
 			case !(v > 0) || math.IsInf(v, 0):
 				bad(name, " is %v, and has to be more than 0", v)
--- a/fleet/capacity/work.go
+++ b/fleet/capacity/work.go
@@ -159,16 +159,14 @@
 // ownedLine is the row with ownership.
 func (w row) ownedLine(t Target, slopes map[string]Slope) Line {
 	w.formula, w.figure, w.limits = w.owned.formula, w.owned.figure, w.owned.limits
-	at := slices.IndexFunc(mechanisms, func(m Mechanism) bool { return m.Name == ownership })
-	place := w.place
-	w.place = mechanisms[at].Place // it is worked out how far it would carry
+	carried := built(ownership) && w.place != ""
+	if w.place == "" {
+		w.place = "missing" // all the same it is worked out how far it would carry
+	}
 	l := w.line(t, slopes)
 	l.Owned = true
-	switch {
-	case !mechanisms[at].Built || place == "":
+	if !carried {
 		l.Mechanism = "missing"
-	default:
-		l.Mechanism = place
 	}
 	return l
 }
@@ -360,6 +358,7 @@
 		if m.Built {
 			continue
 		}
+		m.Needs = slices.DeleteFunc(slices.Clone(m.Needs), built)
 		s := Step{Mechanism: m, Rows: []string{}, Unknown: []string{}, Least: math.MaxFloat64}
 		for _, l := range best(lines) {
 			if l.OwnCost || !slices.ContainsFunc(l.WaitsFor, func(name string) bool { return name == m.Name || needs(name, m.Name) }) {
@@ -409,6 +408,10 @@
 	return sorted
 }
 
+func built(name string) bool {
+	return slices.ContainsFunc(mechanisms, func(m Mechanism) bool { return m.Name == name && m.Built })
+}
+
 // needs tells that one mechanism needs another, also by way of others.
 func needs(name, other string) bool {
 	for _, m := range mechanisms {
