--- /dev/null
+++ b/internal/lab/scale/burden/held.go
@@ -0,0 +1,164 @@
+package burden
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"runtime"
+	"strconv"
+	"time"
+
+	"starlingusher/choice"
+	"starlingusher/internal/lab/scale/play"
+)
+
+// held is the axis of the events that a node holds because nobody takes them.
+func held() play.Axis {
+	return play.Axis{
+		Name: "held",
+		Per:  "event",
+		About: "A node holds N events that no partner takes. The decision module alone: one event more in a step, a step in which nothing " +
+			"happens, and its memory. A real node: memory and file with N events handed in by clients, then a kill and the time until it is ready again.",
+		Measures: []play.Measure{
+			{ID: "module.held.step", What: "processor time of a step that takes one event, by the events held", Unit: "s"},
+			{ID: "module.held.wake", What: "processor time of a step in which nothing happens, by the events held", Unit: "s"},
+			{ID: "module.held.heap", What: "heap of the module, by the events held", Unit: "B"},
+			{ID: "journal.held.rss", What: "resident memory of a real node, module included, by the events held", Unit: "B"},
+			{ID: "journal.held.file", What: "the journal's file, by the events held", Unit: "B"},
+			{ID: "journal.start", What: "from a real node's start after a kill until it answers, by the events held", Unit: "s"},
+			{ID: "journal.start.rss", What: "most memory that a real node held in a start after a kill, by the events held", Unit: "B"},
+			{ID: "journal.stall", What: "longest that one event handed in alone waited for its answer, by the events held", Unit: "s"},
+		},
+		Settings: map[string]play.Setting{
+			"destinations": {Default: 100, Least: 1, Most: 10000, About: "that the events are for, evenly"},
+			"fleet":        {Default: 820, Least: 1, Most: 100000, About: "nodes altogether, as the node is told"},
+			"journal_most": {Default: 400000, Least: 0, Most: 1e7, About: "events from which on the real node is left out; 0 leaves it out"},
+			"body":         {Default: 200, Least: 0, Most: 60000, About: "bytes of an event's body"},
+			"clients":      {Default: 128, Least: 1, Most: 400, About: "connections that hand events in"},
+			"load_seconds": {Default: 60, Least: 1, Most: 3600, About: "within which the real node must have taken all events"},
+			"max_open":     {Default: 0, Least: 0, Most: 1e9, About: "events that the real node may hold; 0: as many as it takes"},
+			"disk_mb":      {Default: 0, Least: 0, Most: 1 << 20, About: "of the real node's lasting folder; 0: as much as it takes"},
+			"memory_mb":    {Default: 8192, Least: 16, Most: 1 << 20, About: "of the real node"},
+			"cores":        {Default: 1, Least: 0.1, Most: 64, About: "of the real node"},
+		},
+		Play: playHeld,
+	}
+}
+
+func playHeld(ctx context.Context, s play.Spec, log *slog.Logger) (play.Reading, error) {
+	var r play.Reading
+	n, dests := int(s.X), int(s.Set["destinations"])
+	if err := moduleHeld(ctx, &r, n, dests, int(s.Set["fleet"]), s.Seed); err != nil {
+		return r, err
+	}
+	if most := s.Set["journal_most"]; s.X > most {
+		if most > 0 {
+			r.Note("the real node is left out above %.0f events", most)
+		}
+		return r, nil
+	}
+	return r, journalHeld(ctx, &r, s, log)
+}
+
+const (
+	heldSteps   = 300             // that are timed,
+	heldLeast   = 20              // fewer once they have taken
+	heldTime    = 3 * time.Second // so long
+	loadBatch   = 1 << 14         // events in one step while the module is filled
+	never       = 1000 * time.Hour
+	messageLife = 24 * time.Hour // the longest that clients may ask for
+)
+
+// moduleHeld fills the module with n events and times its steps. Each destination has told to wait, so nothing goes out: what a step
+// takes is what it takes to hold.
+//
+// Where it goes, by profiles of this play: choice.go's expire and arm each walk all that is open (s.open) in every step.
+func moduleHeld(ctx context.Context, r *play.Reading, n, dests, fleet int, seed uint64) error {
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	sender := choice.New(settings(fleet, 64, messageLife), seed)
+	f := filler{of: sender, now: clockStart}
+	f.step(oneEach(dests, 2))
+	for id := range min(n, dests) { // of each destination the first one hears of the wait
+		f.step(f.arrival(id, id%dests))
+	}
+	before := liveHeap()
+	batch := make([]choice.Event, 0, loadBatch)
+	for id := dests; id < n; id++ {
+		if batch = append(batch, f.arrival(id, id%dests)); len(batch) == loadBatch || id == n-1 {
+			f.step(batch...)
+			batch = batch[:0]
+			if ctx.Err() != nil {
+				return context.Cause(ctx)
+			}
+		}
+	}
+	clear(batch[:cap(batch)])
+	after := liveHeap()
+	runtime.KeepAlive(batch)
+	if f.refused > 0 {
+		return fmt.Errorf("the module refused or ended %d of %d events", f.refused, n)
+	}
+	if n > dests { // those of the first round were there before
+		r.Value("module.held.heap", (after-before)*float64(n)/float64(n-dests))
+	}
+	r.Count("module_calls", float64(f.calls))
+
+	m := &meter{of: sender}
+	f.of = m
+	var used, wakes time.Duration
+	var most time.Duration
+	steps := 0
+	for began := time.Now(); steps < heldSteps && (steps < heldLeast || time.Since(began) < heldTime); steps++ {
+		if ctx.Err() != nil {
+			return context.Cause(ctx)
+		}
+		id := n + steps
+		m.reset()
+		f.step(f.arrival(id, id%dests))
+		used, most = used+m.used, max(most, m.most)
+		m.reset()
+		f.step(choice.Rang{Tag: "sweep"})
+		wakes += m.used
+		f.step(choice.Dropped{ID: strconv.Itoa(id)}) // so that it goes on holding n
+	}
+	if m.err != nil {
+		return m.err
+	}
+	if f.refused > 0 {
+		return fmt.Errorf("the module refused or ended %d of %d timed events", f.refused, steps)
+	}
+	r.Value("module.held.step", used.Seconds()/float64(steps))
+	r.Value("module.held.wake", wakes.Seconds()/float64(steps))
+	r.Count("module_step_longest_s", most.Seconds())
+	r.Count("module_steps", float64(steps))
+	return nil
+}
+
+// filler drives the module on a clock of its own. Whatever is called refuses and tells to wait.
+type filler struct {
+	of             stepper
+	now            time.Duration
+	calls, refused int
+}
+
+func (f *filler) arrival(id, dest int) choice.Event {
+	return choice.Arrived{ID: strconv.Itoa(id), Tenant: -1, Dest: dest, DropDead: f.now + messageLife}
+}
+
+func (f *filler) step(events ...choice.Event) {
+	for len(events) > 0 {
+		f.now += time.Millisecond
+		actions := f.of.Step(f.now, events)
+		events = nil
+		for _, a := range actions {
+			switch a := a.(type) {
+			case choice.Send:
+				f.calls++
+				events = append(events, choice.Ended{ID: a.ID, Endpoint: a.Endpoint, Outcome: choice.NoRoom, Took: time.Millisecond, Wait: never})
+			case choice.PushBack, choice.Fail:
+				f.refused++
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/scale/burden/real.go
@@ -0,0 +1,434 @@
+package burden
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"starlingusher/fleet/catalog"
+	"starlingusher/internal/lab/proc"
+	"starlingusher/internal/lab/scale/play"
+)
+
+const (
+	readyWithin  = 2 * time.Minute
+	readyPoll    = time.Millisecond
+	answerWithin = 30 * time.Second
+	settleTime   = 500 * time.Millisecond // before a node's memory is read
+	alone        = 100                    // events handed in one by one,
+	alonePause   = 5 * time.Millisecond   // so far apart
+	partnerWait  = 600                    // seconds that a partner tells to wait, the longest that a node heeds
+	perHeld      = 1000 + 24              // bytes that the journal sets aside for an event beside its body, id included, and some more
+	sockets      = 1024
+)
+
+// journalHeld lets clients hand n events in to a real node whose partners take nothing, kills it and starts it again.
+func journalHeld(ctx context.Context, r *play.Reading, s play.Spec, log *slog.Logger) (err error) {
+	n, dests := int(s.X), int(s.Set["destinations"])
+	around, err := newSurroundings(dests)
+	if err != nil {
+		return err
+	}
+	defer around.close()
+	node, err := newRealNode(s, around, log)
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, node.close()) }()
+	if _, err := node.start(ctx); err != nil {
+		return err
+	}
+	c := handers{addr: node.addr, dests: dests, body: strings.Repeat("x", int(s.Set["body"]))}
+	load, cancel := context.WithTimeout(ctx, time.Duration(s.Set["load_seconds"]*float64(time.Second)))
+	defer cancel()
+	began := time.Now()
+	longest, err := c.handIn(load, n, int(s.Set["clients"]))
+	took := time.Since(began).Seconds()
+	r.Count("journal_taken", float64(c.taken.Load()))
+	r.Count("journal_load_s", took)
+	r.Count("journal_load_answer_longest_s", longest.Seconds())
+	if ctx.Err() != nil {
+		return context.Cause(ctx)
+	}
+	var refused refusedError
+	switch {
+	case errors.As(err, &refused):
+		r.End("%d events are held, and the next one is refused (%s): max_open %.0f, disk_mb %.0f (0: raised as needed)",
+			c.taken.Load(), refused.answer, s.Set["max_open"], s.Set["disk_mb"])
+		return nil
+	case load.Err() != nil:
+		r.End("%d of %d events were taken in %.0f s", c.taken.Load(), n, took)
+		return nil
+	case err != nil && node.ended():
+		r.End("the node ended %v at %d events", node.p.Exit(), c.taken.Load())
+		return nil
+	case err != nil:
+		return err
+	}
+	if err := sleep(ctx, settleTime); err != nil {
+		return err
+	}
+	use, err := node.p.Usage()
+	if err != nil {
+		return err
+	}
+	file, err := os.Stat(filepath.Join(s.Dir, "state", "journal"))
+	if err != nil {
+		return err
+	}
+	if err := node.kill(); err != nil {
+		return err
+	}
+	ready, err := node.start(ctx)
+	if err != nil {
+		return err
+	}
+	r.Value("journal.held.rss", float64(use.RSS))
+	r.Value("journal.held.file", float64(file.Size()))
+	r.Value("journal.start", ready.Seconds())
+	stall, mean, err := c.handInAlone(ctx, alone)
+	if err != nil {
+		return fmt.Errorf("after the start: %w", err)
+	}
+	r.Value("journal.stall", stall.Seconds())
+	r.Count("journal_answer_mean_s", mean.Seconds())
+	if err := node.kill(); err != nil {
+		return err
+	}
+	r.Value("journal.start.rss", float64(node.p.Exit().RSS))
+	r.Count("journal_start_cpu_s", node.p.Exit().CPU.Seconds())
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+// surroundings are all that the node meets but its clients, on one address: the list, the place for notices, and every partner.
+type surroundings struct {
+	list  catalog.List
+	addr  string
+	srv   *http.Server
+	done  chan struct{}
+	calls atomic.Int64
+}
+
+func newSurroundings(dests int) (*surroundings, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("the node's surroundings: %w", err)
+	}
+	a := &surroundings{addr: ln.Addr().String(), done: make(chan struct{}), list: catalog.List{Revision: 1, Complete: true}}
+	for i := range dests {
+		a.list.Members = append(a.list.Members, catalog.Endpoint{
+			ID: endpointID(i), Addr: a.addr, Locality: "z0", Flavor: "hook", Cell: i, Phase: catalog.Serving, Size: 2,
+		})
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /registry/instances", a.watch)
+	mux.HandleFunc("POST /reports", func(_ http.ResponseWriter, req *http.Request) { io.Copy(io.Discard, req.Body) })
+	mux.HandleFunc("/", a.refuse)
+	a.srv = &http.Server{Handler: mux, ReadHeaderTimeout: 30 * time.Second}
+	go func() { // until close
+		defer close(a.done)
+		a.srv.Serve(ln)
+	}()
+	return a, nil
+}
+
+func (a *surroundings) close() {
+	a.srv.Close()
+	<-a.done
+}
+
+// watch tells the list once, and then that it is alive.
+func (a *surroundings) watch(w http.ResponseWriter, req *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	flush := http.NewResponseController(w)
+	if json.NewEncoder(w).Encode(a.list) != nil || flush.Flush() != nil {
+		return
+	}
+	beat := time.NewTicker(2 * time.Second)
+	defer beat.Stop()
+	for {
+		select {
+		case <-beat.C:
+			if _, err := io.WriteString(w, "\n"); err != nil || flush.Flush() != nil {
+				return
+			}
+		case <-req.Context().Done():
+			return
+		}
+	}
+}
+
+// refuse is every partner: it tells to wait.
+func (a *surroundings) refuse(w http.ResponseWriter, req *http.Request) {
+	a.calls.Add(1)
+	io.Copy(io.Discard, req.Body)
+	w.Header().Set("Retry-After", strconv.Itoa(partnerWait))
+	w.WriteHeader(http.StatusTooManyRequests)
+}
+
+// realNode is a coralyard process and its folder.
+type realNode struct {
+	spec play.Spec
+	addr string
+	env  []string
+	sup  *proc.Supervisor
+	out  *os.File
+	p    *proc.Process // the present or last one
+}
+
+// newRealNode writes the configuration as the lab does, but for one class that lasts long and for the limits.
+func newRealNode(s play.Spec, around *surroundings, log *slog.Logger) (*realNode, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0") // an address that is free now
+	if err != nil {
+		return nil, fmt.Errorf("the node's address: %w", err)
+	}
+	addr := ln.Addr().String()
+	if err := ln.Close(); err != nil {
+		return nil, err
+	}
+	for _, d := range []string{"state", "tmp"} {
+		if err := os.MkdirAll(filepath.Join(s.Dir, d), 0o700); err != nil {
+			return nil, fmt.Errorf("the node's folder: %w", err)
+		}
+	}
+	maxOpen, diskMB := s.Set["max_open"], s.Set["disk_mb"]
+	if maxOpen == 0 {
+		// The module lets one destination hold no more than what is left for all (admit).
+		maxOpen = 2*s.X + 10000
+	}
+	if diskMB == 0 { // twice what is held must fit
+		diskMB = 64 + 2*(s.X+10000)*(s.Set["body"]+perHeld)/(1<<20)
+	}
+	type object = map[string]any
+	raw, err := json.Marshal(object{
+		"name": "held", "listen": addr, "discovery": around.addr, "seed": fmt.Sprintf("%016x", s.Seed), "known": around.list,
+		"limits": object{"cores": s.Set["cores"], "memory_mb": int64(s.Set["memory_mb"]), "sockets": sockets, "disk_mb": diskMB},
+		"settings": object{
+			"fleetSize": int(s.Set["fleet"]), "myNumber": 0, "zone": "z0", "failureDomains": []string{"z0"}, "flavors": []string{"hook"},
+			"discovery": "pushed", "weights": "nominal", "worthBy": "request", "overShareWorth": 1, "tick": 5.0,
+			"categories": []object{{"name": "c", "aim": 1000.0, "deadline": float64(messageLife / time.Millisecond), "effect": "idempotent",
+				"group": "all", "lateWorth": 0.1, "window": 0.0, "worth": 1.0}},
+			"customers": []object{},
+			"domain": object{"decay": "line", "kindBatch": []int{1}, "separateRoutes": []bool{false}, "workers": 64,
+				"feeByZone": []float64{0}},
+			"limits": object{"cancel": true, "connIdle": 5000.0, "dialTimeout": 1500.0, "maxAttempts": 6, "maxOpen": int(maxOpen),
+				"maxRetryAfter": 2000.0, "probes": true, "retryAfter": true},
+			"contract": object{"coldFrom": 0.19, "fall": 2000.0, "fallMultiple": 2.0, "graceToAnswer": 20.0, "mustAskIn": 10000.0,
+				"stopSendingWithin": 1000.0, "warmWithin": 10000.0},
+		},
+	})
+	if err != nil {
+		return nil, fmt.Errorf("the node's configuration: %w", err)
+	}
+	config := filepath.Join(s.Dir, "config.json")
+	if err := os.WriteFile(config, raw, 0o600); err != nil {
+		return nil, fmt.Errorf("the node's configuration: %w", err)
+	}
+	out, err := os.Create(filepath.Join(s.Dir, "log"))
+	if err != nil {
+		return nil, fmt.Errorf("the node's log: %w", err)
+	}
+	log.Debug("real node", "addr", addr, "max_open", maxOpen, "disk_mb", diskMB)
+	return &realNode{
+		spec: s, addr: addr, out: out, sup: proc.NewSupervisor(),
+		env: []string{"PATH=" + os.Getenv("PATH"), "ROUTER_NAME=held", "ROUTER_LISTEN=" + addr, "ROUTER_DISCOVERY=" + around.addr,
+			"ROUTER_STATE=" + filepath.Join(s.Dir, "state"), "ROUTER_CONFIG=" + config, "TMPDIR=" + filepath.Join(s.Dir, "tmp")},
+	}, nil
+}
+
+func (n *realNode) close() error {
+	n.sup.Close()
+	return n.out.Close()
+}
+
+// start starts a process and returns how long it took until that answered.
+func (n *realNode) start(ctx context.Context) (time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, readyWithin)
+	defer cancel()
+	began := time.Now()
+	p, err := n.sup.Start(proc.Spec{Name: "held", Command: []string{n.spec.Node}, Env: n.env, Log: n.out, Sockets: sockets})
+	if err != nil {
+		return 0, err
+	}
+	n.p = p
+	for !n.answers() {
+		if n.ended() {
+			return 0, fmt.Errorf("the node ended %v before it was ready%s", p.Exit(), n.lastWords())
+		}
+		if err := sleep(ctx, readyPoll); err != nil {
+			return 0, fmt.Errorf("the node is not ready: %w", err)
+		}
+	}
+	return time.Since(began), nil
+}
+
+// lastWords is the end of the node's log.
+func (n *realNode) lastWords() string {
+	raw, err := os.ReadFile(n.out.Name())
+	if err != nil || len(raw) == 0 {
+		return ""
+	}
+	return ": " + strings.TrimSpace(string(raw[max(len(raw)-400, 0):]))
+}
+
+func (n *realNode) ended() bool {
+	select {
+	case <-n.p.Done():
+		return true
+	default:
+		return false
+	}
+}
+
+func (n *realNode) kill() error {
+	if err := n.p.Signal(syscall.SIGKILL); err != nil {
+		return err
+	}
+	<-n.p.Done()
+	return nil
+}
+
+func (n *realNode) answers() bool {
+	nc, err := net.DialTimeout("tcp", n.addr, 100*time.Millisecond)
+	if err != nil {
+		return false
+	}
+	defer nc.Close()
+	nc.SetDeadline(time.Now().Add(time.Second))
+	if _, err := io.WriteString(nc, "*1\r\n$4\r\nPING\r\n"); err != nil {
+		return false
+	}
+	line, err := bufio.NewReader(nc).ReadString('\n')
+	return err == nil && line == "+PONG\r\n"
+}
+
+// refusedError is a node's answer that it doesn't take an event.
+type refusedError struct{ answer string }
+
+func (e refusedError) Error() string { return "an event was not taken: " + e.answer }
+
+// handers hand events in, each under an id of its own.
+type handers struct {
+	addr  string
+	dests int
+	body  string
+	last  atomic.Int64 // number of the last event
+	taken atomic.Int64
+}
+
+// handIn hands n events in over so many connections, and returns the longest wait for an answer. At the first that is refused all end.
+func (h *handers) handIn(ctx context.Context, n, conns int) (longest time.Duration, err error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	end := h.last.Load() + int64(n)
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	for range min(conns, n) {
+		wg.Go(func() {
+			most, err := h.session(ctx, func() (int64, bool) {
+				i := h.last.Add(1)
+				return i, i <= end
+			})
+			mu.Lock()
+			longest = max(longest, most)
+			mu.Unlock()
+			if err != nil {
+				cancel(err)
+			}
+		})
+	}
+	wg.Wait()
+	h.last.Store(end)
+	if ctx.Err() != nil {
+		return longest, context.Cause(ctx)
+	}
+	return longest, nil
+}
+
+// session hands in what next numbers, on one connection, each once the one before is answered.
+func (h *handers) session(ctx context.Context, next func() (int64, bool)) (longest time.Duration, err error) {
+	d := net.Dialer{Timeout: answerWithin}
+	nc, err := d.DialContext(ctx, "tcp", h.addr)
+	if err != nil {
+		return 0, err
+	}
+	defer nc.Close()
+	stop := context.AfterFunc(ctx, func() { nc.Close() })
+	defer stop()
+	br := bufio.NewReader(nc)
+	for i, ok := next(); ok && ctx.Err() == nil; i, ok = next() {
+		began := time.Now()
+		if err := h.one(nc, br, i); err != nil {
+			return longest, err
+		}
+		longest = max(longest, time.Since(began))
+	}
+	return longest, nil
+}
+
+// one hands in the event of a number and waits for its answer.
+func (h *handers) one(nc net.Conn, br *bufio.Reader, i int64) error {
+	id := "e" + strconv.FormatInt(1_000_000_000+i, 10)
+	words := fmt.Sprintf("c=c,d=%d,dest=%d", messageLife/time.Millisecond, i%int64(h.dests))
+	var b strings.Builder
+	b.WriteString("*5\r\n")
+	for _, w := range []string{"ENQUEUE", strings.Repeat("0", 16), id, words, h.body} {
+		fmt.Fprintf(&b, "$%d\r\n%s\r\n", len(w), w)
+	}
+	if err := nc.SetDeadline(time.Now().Add(answerWithin)); err != nil {
+		return err
+	}
+	if _, err := io.WriteString(nc, b.String()); err != nil {
+		return err
+	}
+	line, err := br.ReadString('\n')
+	if err != nil {
+		return err
+	}
+	if line != "+OK\r\n" {
+		return refusedError{strings.TrimSpace(line)}
+	}
+	h.taken.Add(1)
+	return nil
+}
+
+// handInAlone hands n events in one after the other, and returns the longest wait for an answer and the mean.
+func (h *handers) handInAlone(ctx context.Context, n int) (longest, mean time.Duration, err error) {
+	began, done := time.Now(), 0
+	longest, err = h.session(ctx, func() (int64, bool) {
+		if done == n || (done > 0 && sleep(ctx, alonePause) != nil) {
+			return 0, false
+		}
+		done++
+		return h.last.Add(1), true
+	})
+	if err == nil && ctx.Err() != nil {
+		err = context.Cause(ctx)
+	}
+	return longest, (time.Since(began) - time.Duration(max(done-1, 0))*alonePause) / time.Duration(max(done, 1)), err
+}
