--- /dev/null
+++ b/internal/lab/scale/hollow/destinations.go
@@ -0,0 +1,315 @@
+package hollow
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"starlingusher/choice"
+	"starlingusher/fleet/catalog"
+	"starlingusher/internal/directory"
+	"starlingusher/internal/lab/scale/play"
+	"starlingusher/internal/registry"
+)
+
+const (
+	mostChanges = 20                      // of one endpoint each, one after the other
+	keptWait    = 1500 * time.Millisecond // until the kept list is written
+	leastEntry  = 100                     // bytes of an endpoint in a list
+	refusals    = 2                       // lists that a node has let go of, before it is taken to refuse them
+)
+
+func destinationsAxis() play.Axis {
+	return play.Axis{
+		Name: "destinations", Per: "destination",
+		About: "one hollow node follows the whole list of so many destinations, with 1.7 endpoints each: of a replica of the directory up to its cap, past that of a stand-in that tells a list of any length",
+		Measures: []play.Measure{
+			{ID: "node.destinations.heap", What: "heap of a node's control side, by the destinations it follows (1.7 endpoints each)", Unit: "B"},
+			{ID: "node.destinations.rss", What: "resident memory that a node's control side adds to its process, by the destinations it follows", Unit: "B"},
+			{ID: "node.list.bytes", What: "bytes that a node receives until it has its first list, by the destinations in it", Unit: "B", Exact: true},
+			{ID: "node.list.step", What: "time for which a node's loop stands still for a whole list, by the destinations in it", Unit: "s"},
+			{ID: "node.change.step", What: "time for which a node's loop stands still for a change of one endpoint, by the destinations it knows", Unit: "s"},
+			{ID: "node.empty.step", What: "time that a node's loop takes for a step in which nothing is new (its figures count all endpoints), by the destinations it knows", Unit: "s"},
+			{ID: "directory.destinations.rss", What: "resident memory of a replica of the directory, by the destinations in its list", Unit: "B"},
+		},
+		Settings: map[string]play.Setting{
+			"keep_kb":  keepSetting,
+			"changes":  {Default: mostChanges, Least: 0, Most: 1000, About: "changes of one endpoint each, one after the other; node.change.step is the median of them"},
+			"stand_in": {Default: 0, Least: 0, Most: 1, About: "1: the stand-in tells the list also where the directory could"},
+		},
+		Play: playDestinations,
+	}
+}
+
+var keepSetting = play.Setting{Default: -1, Least: -1, Most: 1 << 20, About: "room for the kept list in the lasting folder, in KB; -1: what the list needs, 0: it is not kept"}
+
+// teller is what tells a node its list in this axis: a service or a source.
+type teller struct {
+	address string
+	change  func(context.Context, catalog.Endpoint) (int64, error)
+	close   func()
+	svc     *service // nil: a stand-in
+	src     *source
+	first   int64  // revision of the list
+	from    string // where the play's own asks come from; empty: there are none
+}
+
+func openTeller(ctx context.Context, s play.Spec, endpoints int, r *play.Reading) (*teller, error) {
+	if endpoints <= catalog.MaxMembers && s.Set["stand_in"] == 0 {
+		svc, err := openService(ctx, s, 1, false, listOf(endpoints))
+		if err != nil {
+			return nil, err
+		}
+		st, err := svc.status(ctx, svc.replicas[0])
+		if err != nil {
+			svc.close()
+			return nil, err
+		}
+		return &teller{address: svc.addresses(0)[0], svc: svc, close: svc.close, first: st.Revision, from: svc.from(),
+			change: func(ctx context.Context, e catalog.Endpoint) (int64, error) {
+				return svc.write(ctx, []catalog.Endpoint{e}, false)
+			}}, nil
+	}
+	if endpoints > catalog.MaxMembers {
+		if err := capped(ctx, s, endpoints); err != nil {
+			return nil, err
+		}
+		r.Note("the directory ended before: it takes %d endpoints at most and refused %d (507); a stand-in tells the list", catalog.MaxMembers, endpoints)
+	}
+	src, err := openSource(endpoints)
+	if err != nil {
+		return nil, err
+	}
+	return &teller{address: src.address(), src: src, close: func() { src.close() }, first: firstRevision,
+		change: func(_ context.Context, e catalog.Endpoint) (int64, error) { return src.change(e), nil }}, nil
+}
+
+// capped makes sure that a replica really refuses one endpoint more than it holds at most.
+func capped(ctx context.Context, s play.Spec, endpoints int) error {
+	s.Dir = filepath.Join(s.Dir, "cap")
+	svc, err := openService(ctx, s, 1, false, listOf(1))
+	if err != nil {
+		return err
+	}
+	defer svc.close()
+	op := svc.operator(svc.replicas...)
+	op.Wait = 0
+	_, err = op.Put(ctx, listOf(min(endpoints, catalog.MaxMembers+1)), true, true, "*")
+	var no *directory.Refusal
+	if errors.As(err, &no) && no.Code == http.StatusInsufficientStorage {
+		return nil
+	}
+	return fmt.Errorf("a list of more than %d endpoints should have been refused for want of room: %w", catalog.MaxMembers, err)
+}
+
+func playDestinations(ctx context.Context, s play.Spec, log *slog.Logger) (r play.Reading, err error) {
+	endpoints := endpointsOf(int(s.X))
+	t, err := openTeller(ctx, s, endpoints, &r)
+	if err != nil {
+		return r, err
+	}
+	defer t.close()
+	r.Count("endpoints", float64(endpoints))
+
+	spec := Spec{Name: "h0", Nodes: 1, Dir: filepath.Join(s.Dir, "h0"), Addresses: []string{t.address}, KeepKB: keepFor(s, endpoints)}
+	if err := spec.Write(); err != nil {
+		return r, err
+	}
+	settle()
+	heap0 := heap()
+	rss0, err := rss(own)
+	if err != nil {
+		return r, err
+	}
+	n, err := New(spec, log)
+	if err != nil {
+		return r, err
+	}
+	loop := watchLoop(n.Node)
+	began := time.Now()
+	n.Run()
+	defer func() {
+		loop.close()
+		err = errors.Join(err, n.Close())
+	}()
+	took := false
+	err = await(ctx, "the first list", func() bool {
+		at, _ := n.Told()
+		took = at >= t.first
+		return took || t.src != nil && t.src.asked() > refusals
+	})
+	if err != nil {
+		return r, err
+	}
+	if !took {
+		r.Count("list.bytes", float64(t.src.bytes()))
+		r.End("a node takes no list of %d bytes (%d endpoints): 16 MB at most, and it asks for it again and again", t.src.bytes(), endpoints)
+		r.Note("past this end the module alone is fed")
+		of, err := module(ctx, spec, s)
+		for id, v := range of {
+			r.Count(id, v)
+		}
+		return r, err
+	}
+	r.Count("ready", time.Since(began).Seconds())
+	bytes, err := carried(map[string]bool{t.address: true}, t.from)
+	if err != nil {
+		return r, err
+	}
+	if err := loop.after(ctx, 1); err != nil {
+		return r, err
+	}
+	if worst, asks := loop.take(); asks > 1 {
+		r.Value("node.list.step", worst.Seconds())
+	} else {
+		r.Note("the list was there before the loop could be watched, so node.list.step is missing")
+	}
+	if bytes.conns == 1 && bytes.in > float64(endpoints*leastEntry) { // else the list came over one that has ended since
+		r.Value("node.list.bytes", bytes.in)
+		r.Count("node.list.sent", bytes.out)
+	} else {
+		r.Note("%d connections have carried %v bytes, so the list came over another, and node.list.bytes is missing", bytes.conns, bytes.in)
+	}
+	var steps []float64
+	for i := range int(s.Set["changes"]) {
+		loop.take()
+		revision, err := t.change(ctx, turned(i%endpoints, int64(i+1)))
+		if err == nil {
+			err = await(ctx, "a change", func() bool { at, _ := n.Told(); return at >= revision })
+		}
+		if err == nil {
+			err = loop.after(ctx, 1)
+		}
+		if err != nil {
+			return r, err
+		}
+		worst, _ := loop.take()
+		steps = append(steps, worst.Seconds())
+	}
+	if len(steps) > 0 {
+		r.Value("node.change.step", median(steps))
+		r.Count("node.change.step.worst", slices.Max(steps))
+		after, err := carried(map[string]bool{t.address: true}, t.from)
+		if err != nil {
+			return r, err
+		}
+		r.Count("change.bytes", after.sub(bytes).in/float64(len(steps)))
+	}
+	loop.close()
+	empty, err := emptyStep(ctx, n.Node)
+	if err != nil {
+		return r, err
+	}
+	r.Value("node.empty.step", empty)
+	registry.Sleep(ctx, keptWait)
+	if t.svc != nil {
+		use, err := t.svc.use()
+		if err != nil {
+			return r, err
+		}
+		r.Value("directory.destinations.rss", use.rss[0])
+	}
+	rss1, err := rss(own)
+	if err != nil {
+		return r, err
+	}
+	r.Value("node.destinations.rss", rss1-rss0)
+	r.Value("node.destinations.heap", heap()-heap0)
+	if _, have := n.Told(); have != endpoints {
+		return r, fmt.Errorf("the node has %d endpoints, the list %d", have, endpoints)
+	}
+	return r, ctx.Err()
+}
+
+func median(of []float64) float64 {
+	of = slices.Sorted(slices.Values(of))
+	if n := len(of); n%2 == 0 {
+		return (of[n/2-1] + of[n/2]) / 2
+	}
+	return of[len(of)/2]
+}
+
+func moduleAxis() play.Axis {
+	return play.Axis{
+		Name: "module", Per: "destination",
+		About:    "the decision module alone is told the whole list of so many destinations, with 1.7 endpoints each: no sockets, no journal, so it goes on where a node ends",
+		Measures: moduleMeasures,
+		Settings: map[string]play.Setting{"changes": {Default: mostChanges, Least: 0, Most: 1000, About: "changes of one endpoint each; module.change.step is the median of them"}},
+		Play: func(ctx context.Context, s play.Spec, _ *slog.Logger) (r play.Reading, err error) {
+			spec := Spec{Name: "m0", Nodes: 1, Dir: filepath.Join(s.Dir, "m0"), Addresses: []string{"127.0.0.1:1"}}
+			if err := spec.Write(); err != nil {
+				return r, err
+			}
+			r.Values, err = module(ctx, spec, s)
+			return r, err
+		},
+	}
+}
+
+var moduleMeasures = []play.Measure{
+	{ID: "module.destinations.heap", What: "heap of the decision module, by the destinations it knows (1.7 endpoints each)", Unit: "B"},
+	{ID: "module.list.step", What: "one step of the module for a whole list, by the destinations in it", Unit: "s"},
+	{ID: "module.empty.step", What: "one step of the module in which nothing is new, and the count of its endpoints that a node asks for after each, by the destinations it knows", Unit: "s"},
+	{ID: "module.change.step", What: "one step of the module for a change of one endpoint, by the destinations it knows", Unit: "s"},
+}
+
+// module feeds the decision module alone, made as the node of a spec makes its own, and returns what moduleMeasures name. What the list
+// itself takes isn't the module's.
+func module(ctx context.Context, spec Spec, s play.Spec) (map[string]float64, error) {
+	cfg, err := spec.Load()
+	if err != nil {
+		return nil, err
+	}
+	of := map[string]float64{}
+	endpoints := endpointsOf(int(s.X))
+	entry := func(i int, phase choice.Phase) choice.Entry {
+		e := endpoint(i)
+		return choice.Entry{Endpoint: e.ID, Zone: i % len(zones), Dest: e.Cell, Phase: phase, Weight: e.Size}
+	}
+	settle()
+	before := heap()
+	m := choice.New(cfg.Settings, s.Seed)
+	now := time.Hour
+	step := func(e choice.Event) float64 {
+		began := time.Now()
+		now += time.Millisecond
+		m.Step(now, []choice.Event{e})
+		return time.Since(began).Seconds()
+	}
+	list := make([]choice.Entry, endpoints)
+	for i := range list {
+		list[i] = entry(i, choice.Ready)
+	}
+	of["module.list.step"] = step(choice.Listed{Whole: true, Entries: list})
+	list = nil
+	of["module.destinations.heap"] = heap() - before
+	var steps []float64
+	for i := range int(s.Set["changes"]) {
+		phase := choice.Draining
+		if i%2 == 1 {
+			phase = choice.Ready
+		}
+		steps = append(steps, step(choice.Listed{Entries: []choice.Entry{entry(i/2%endpoints, phase)}}))
+	}
+	if len(steps) > 0 {
+		of["module.change.step"] = median(steps)
+	}
+	steps = steps[:0]
+	for range emptySteps {
+		began := time.Now()
+		now += time.Millisecond
+		m.Step(now, nil)
+		m.Pool()
+		steps = append(steps, time.Since(began).Seconds())
+	}
+	of["module.empty.step"] = median(steps)
+	if have, _ := m.Pool(); have != endpoints {
+		return of, fmt.Errorf("the module knows %d endpoints, the list has %d", have, endpoints)
+	}
+	return of, ctx.Err()
+}
--- /dev/null
+++ b/internal/lab/scale/hollow/past_test.go
@@ -0,0 +1,33 @@
+//go:build !race
+
+// A node lets go of a watch whose list is not there in 2.5 s. With the race detector lists of these sizes take longer.
+
+package hollow
+
+import (
+	"strings"
+	"testing"
+)
+
+// Past the directory's cap a stand-in tells the list; past what a node takes the module alone goes on, and the play says so.
+func TestDestinationsPastTheEnds(t *testing.T) {
+	a := axis(t, "destinations")
+	set := map[string]float64{"changes": 2}
+	r := plays(t, a, 30_000, set, "directory.destinations.rss")
+	if len(r.Ended()) > 0 || len(r.Notes) != 1 || !strings.Contains(r.Notes[0], "50000 endpoints at most") {
+		t.Errorf("notes: %q", r.Notes)
+	}
+	var all []string
+	for _, m := range a.Measures {
+		all = append(all, m.ID)
+	}
+	r = plays(t, a, 90_000, set, all...)
+	if ends := r.Ended(); len(ends) != 1 || !strings.Contains(ends[0], "16 MB") || len(r.Values) > 0 {
+		t.Errorf("ends: %q, values %v", ends, r.Values)
+	}
+	for _, m := range moduleMeasures {
+		if r.Counts[m.ID] <= 0 {
+			t.Errorf("%s is %v", m.ID, r.Counts[m.ID])
+		}
+	}
+}
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -62,3 +62,29 @@
 		t.Errorf("without a file: %+v, %v", f, err)
 	}
 }
+
+// What a node says of its list is in force in its loop.
+func TestTold(t *testing.T) {
+	t.Parallel()
+	p, r := newPartner(t, says(delivered)), newRegistry(t)
+	r.tell(listOf(4, true, serving("e", p.addr(), 7, "SERVING"), serving("f", p.addr(), 8, "SERVING")))
+	var n *Node
+	startWith(t, r, t.TempDir(), nil, func(started *Node) { n = started })
+	for _, want := range []struct {
+		revision  int64
+		endpoints int
+		tell      string
+	}{
+		{4, 2, ""},
+		{5, 3, listOf(5, false, serving("g", p.addr(), 9, "SERVING"))},
+		{7, 1, listOf(7, true, serving("g", p.addr(), 9, "SERVING"))},
+	} {
+		if want.tell != "" {
+			r.tell(want.tell)
+		}
+		eventually(t, "revision "+itoa(int(want.revision)), func() bool { at, _ := n.Told(); return at >= want.revision })
+		if at, have := n.Told(); at != want.revision || have != want.endpoints {
+			t.Errorf("%d endpoints at revision %d, want %d at %d", have, at, want.endpoints, want.revision)
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -86,6 +86,7 @@
 	acts     []act                 // what the records that are not yet written guard, in order
 	figures  *figures
 	stage    atomic.Int32  // shared
+	revision atomic.Int64  // shared; of the list that the module last took
 	wakeAt   time.Duration // of the module; 0 none
 	// The journal could not be written since then; zero: it can be.
 	stuckSince time.Time
@@ -191,6 +192,13 @@
 	return ""
 }
 
+// Told is the revision of the list that is in force in the loop, by the count of who told it, and how many endpoints that has. It may
+// be called at any time.
+func (n *Node) Told() (revision int64, endpoints int) {
+	revision = n.revision.Load()
+	return revision, int(n.figures.listed.Load()) // of that revision or a later one
+}
+
 // seed reads the configuration's hexadecimal seed; any other text serves as well.
 func seed(text string) uint64 {
 	if v, err := strconv.ParseUint(text, 16, 64); err == nil {
@@ -828,6 +836,7 @@
 	n.figures.active.Store(int64(n.held))
 	n.figures.listed.Store(int64(listed))
 	n.figures.avoided.Store(int64(avoided))
+	n.revision.Store(n.told.Revision)
 }
 
 // end gives a message its final answer: to its client if that still waits, and by a notice otherwise.
