Lab: scale runs: each play in a process of its own, and slopes whose form is tested

One axis is played point by point; each play is a child process that the run watches (12 GB, 300 processes, others' share of the cores), ends with all it left, and keeps in points.jsonl as it comes. A run that was cut short or killed resumes with the same file and build. The form of a slope (constant, linear, quadratic) is tested by its residuals and by foretelling the last point, weighted by the plays' scatter. proc.Spec gets a standard input and output of its own.

--- a/internal/lab/proc/proc.go
+++ b/internal/lab/proc/proc.go
@@ -25,6 +25,8 @@
 	Command []string
 	Env     []string // all of it
 	Dir     string
+	In      io.Reader // its standard input; nil: none
+	Out     io.Writer // its standard output; nil: the Log has it too
 	Log     io.Writer // its standard output and error; nil: none
 	Sockets int       // descriptors at most; 0: as here
 	Full    bool      // it can write to no file, as on a full disk, until DiskFull(false)
@@ -105,7 +107,10 @@
 		args = append([]string{"/bin/sh", "-c", `ulimit -S -f 0; exec "$0" "$@"`}, args...)
 	}
 	cmd := exec.Command(args[0], args[1:]...)
-	cmd.Env, cmd.Dir, cmd.Stdout, cmd.Stderr = spec.Env, spec.Dir, spec.Log, spec.Log
+	cmd.Env, cmd.Dir, cmd.Stdin, cmd.Stdout, cmd.Stderr = spec.Env, spec.Dir, spec.In, spec.Log, spec.Log
+	if spec.Out != nil {
+		cmd.Stdout = spec.Out
+	}
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	cmd.WaitDelay = 2 * time.Second // for its log, if something holds that open
 	p := &Process{spec: spec, cmd: cmd, done: make(chan struct{})}
--- /dev/null
+++ b/internal/lab/scale/fit_test.go
@@ -0,0 +1,198 @@
+package scale
+
+import (
+	"errors"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// made draws plays of a curve, each off by some share of noise at most.
+func made(rng *rand.Rand, xs []float64, plays int, noise float64, y func(x float64) float64) []sample {
+	var all []sample
+	for _, x := range xs {
+		s := sample{x: x}
+		for range plays {
+			s.ys = append(s.ys, y(x)*(1+noise*(2*rng.Float64()-1)))
+		}
+		all = append(all, s)
+	}
+	return all
+}
+
+// axisPoints draws rising points.
+func axisPoints(t *rapid.T, least int) []float64 {
+	xs := []float64{rapid.Float64Range(1, 1000).Draw(t, "first")}
+	for range rapid.IntRange(least-1, 6).Draw(t, "more") {
+		xs = append(xs, xs[len(xs)-1]*rapid.Float64Range(1.5, 4).Draw(t, "step"))
+	}
+	return xs
+}
+
+func TestFitsMadeDataOfEachForm(t *testing.T) {
+	const noise = 0.008
+	for order, form := range forms {
+		t.Run(form, func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+				xs := axisPoints(t, order+3)
+				end := xs[len(xs)-1]
+				var c [3]float64
+				c[0] = rapid.Float64Range(1, 1e9).Draw(t, "at0")
+				for i, sum := 1, c[0]; i <= order; i++ { // each part is as large as all before it, at the last point
+					c[i] = sum * rapid.Float64Range(1, 50).Draw(t, "part") / math.Pow(end, float64(i))
+					sum += c[i] * math.Pow(end, float64(i))
+				}
+				y := func(x float64) float64 { return c[0] + c[1]*x + c[2]*x*x }
+				f, err := fitSamples(made(rng, xs, 3, noise, y))
+				if err != nil {
+					t.Fatal(err)
+				}
+				if f.order != order {
+					t.Fatalf("found %s, worst %v, because %v", forms[f.order], f.worst, f.why)
+				}
+				for _, x := range xs {
+					if off := math.Abs(f.at(x)/y(x) - 1); off > 4*noise {
+						t.Errorf("at %v off by %.3f", x, off)
+					}
+				}
+				if f.errors[order] <= 0 || f.errors[order] > math.Abs(c[order]) {
+					t.Errorf("the spread of %v is %v", c[order], f.errors[order])
+				}
+			})
+		})
+	}
+}
+
+// Scatter far over what is fitted is not taken for a form, but for as often as is stated.
+func TestScatterIsNoForm(t *testing.T) {
+	xs := []float64{1000, 4000, 13000, 29000, 100000}
+	const tries = 400
+	wrong := 0
+	for seed := range uint64(tries) {
+		f, err := fitSamples(made(rand.New(rand.NewPCG(seed, 2)), xs, 3, 0.3, func(float64) float64 { return 5 }))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if f.order != 0 {
+			wrong++
+		}
+	}
+	if share := float64(wrong) / tries; share > 0.04 { // two tests of 1%, the second cut at three standard errors
+		t.Errorf("%.3f of constant figures with a scatter of 30%% were taken for more", share)
+	}
+}
+
+// The spread is the scatter of the coefficient over many runs.
+func TestSpreadIsThatOfManyRuns(t *testing.T) {
+	xs := []float64{100, 400, 1000, 3000}
+	var slopes, spreads []float64
+	for seed := range uint64(300) {
+		f, err := fitSamples(made(rand.New(rand.NewPCG(seed, 3)), xs, 3, 0.1, func(x float64) float64 { return 50 + x }))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if f.order == 1 {
+			slopes, spreads = append(slopes, f.c[1]), append(spreads, f.errors[1])
+		}
+	}
+	m, sum := mean(slopes), 0.0
+	for _, s := range slopes {
+		sum += (s - m) * (s - m)
+	}
+	real := math.Sqrt(sum / float64(len(slopes)-1))
+	if math.Abs(m-1) > 0.02 {
+		t.Errorf("slopes of 1 come as %v", m)
+	}
+	if got := mean(spreads); got < 0.6*real || got > 1.6*real {
+		t.Errorf("spread %v, the slopes of many runs scatter by %v", got, real)
+	}
+}
+
+// A form that is wrong is found out, and by what.
+func TestWrongFormIsFoundOut(t *testing.T) {
+	xs := []float64{1000, 4000, 10000, 40000}
+	rng := rand.New(rand.NewPCG(1, 4))
+	samples := made(rng, xs, 3, 0.01, func(x float64) float64 { return 10 + x*x/1000 })
+	f, err := fitSamples(samples)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if f.order != 2 || !slices.ContainsFunc(f.why, func(w string) bool { return strings.Contains(w, "linear form of the others misses the last point") }) {
+		t.Errorf("found %s because %v", forms[f.order], f.why)
+	}
+	// The wrong form itself, as the test of the forms sees it.
+	points, _ := weigh(samples)
+	miss, errs, ok := foretell(points, 1)
+	if !ok || -miss < 5*missBound || errs < 5*missErrors {
+		t.Errorf("the line misses the last point by %v, %v standard errors", miss, errs)
+	}
+	// One point that has slipped is no form, and shows in the worst.
+	slipped := made(rng, xs, 3, 0.01, func(x float64) float64 { return 10 + x })
+	for i := range slipped[1].ys {
+		slipped[1].ys[i] *= 1.5
+	}
+	if f, err = fitSamples(slipped); err != nil || f.worst < 0.15 {
+		t.Errorf("worst %v, %v", f.worst, err)
+	}
+}
+
+// What grows slower than a line gets no parabola, which would fall.
+func TestSlowerThanALine(t *testing.T) {
+	xs := []float64{1000, 4000, 10000, 40000, 160000}
+	f, err := fitSamples(made(rand.New(rand.NewPCG(1, 5)), xs, 3, 0.01, math.Sqrt))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if f.order != 1 || f.at(380000) < math.Sqrt(380000) || !slices.ContainsFunc(f.why, func(w string) bool { return strings.Contains(w, "slower") }) {
+		t.Errorf("found %s with %v at 380000 because %v", forms[f.order], f.at(380000), f.why)
+	}
+}
+
+func TestTooLittleToFit(t *testing.T) {
+	three := []float64{1, 1, 1}
+	for name, samples := range map[string][]sample{
+		"two points": {{1, three}, {2, three}},
+		"two plays":  {{1, three}, {2, three}, {3, three[:2]}},
+	} {
+		if _, err := fitSamples(samples); !errors.Is(err, errNotFitted) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+func TestFitsWithoutScatterAndAtZero(t *testing.T) {
+	// Exact bytes have no scatter at all; a figure may be zero at zero, or always.
+	exact := func(y func(x float64) float64, xs ...float64) (all []sample) {
+		for _, x := range xs {
+			all = append(all, sample{x, []float64{y(x), y(x), y(x)}})
+		}
+		return all
+	}
+	f, err := fitSamples(exact(func(x float64) float64 { return 120 + 204*x }, 0, 1000, 29000, 380000))
+	if err != nil || f.order != 1 || math.Abs(f.c[1]-204) > 1e-6 || math.Abs(f.c[0]-120) > 1e-3 {
+		t.Errorf("%+v, %v", f, err)
+	}
+	f, err = fitSamples(exact(func(x float64) float64 { return 3 * x }, 0, 10, 40, 160))
+	if err != nil || f.order != 1 || math.Abs(f.c[1]-3) > 1e-6 || f.worst > 1e-6 {
+		t.Errorf("%+v, %v", f, err)
+	}
+	f, err = fitSamples(exact(func(x float64) float64 { return 0 }, 9, 34, 68, 137))
+	if err != nil || f.order != 0 || f.c[0] != 0 || f.worst != 0 {
+		t.Errorf("%+v, %v", f, err)
+	}
+	// A step up and down again is no trend.
+	f, err = fitSamples(exact(func(x float64) float64 {
+		if x == 4000 {
+			return 1.05 * (100 + x)
+		}
+		return 100 + x
+	}, 1000, 4000, 13000, 29000, 100000))
+	if err != nil || f.order != 1 {
+		t.Errorf("found %s because %v, %v", forms[f.order], f.why, err)
+	}
+}
--- /dev/null
+++ b/internal/lab/scale/machine_test.go
@@ -0,0 +1,85 @@
+package scale
+
+import (
+	"math"
+	"os"
+	"os/exec"
+	"slices"
+	"strings"
+	"testing"
+)
+
+func TestParseStat(t *testing.T) {
+	// A process may call itself anything.
+	raw := "77 (a) S 1 (b)) S 42 77 77 0 -1 4194560 100 0 0 0 11 22 33 44 20 0 5 0 9001 1000000 250 18446744073709551615\n"
+	s, err := parseStat([]byte(raw))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if want := (stat{parent: 42, used: 110, began: 9001, pages: 250}); s != want {
+		t.Errorf("got %+v, want %+v", s, want)
+	}
+	if s, err = parseStat([]byte(strings.Replace(raw, "S 42", "Z 42", 1))); err != nil || !s.ended {
+		t.Errorf("got %+v, %v", s, err)
+	}
+	for _, bad := range []string{"", "77 (x", "77 (x) S 1 2", strings.Replace(raw, " 9001 ", " x ", 1)} {
+		if _, err := parseStat([]byte(bad)); err == nil {
+			t.Errorf("%q was read", bad)
+		}
+	}
+}
+
+func TestShares(t *testing.T) {
+	a := Look{Cores: Ticks{All: 1000, Idle: 500, Interrupts: 10, Steal: 5}, Own: 100}
+	b := Look{Cores: Ticks{All: 2000, Idle: 1000, Interrupts: 60, Steal: 55}, Own: 350}
+	got := shares(a, b) // 1000 ticks: 500 idle, 50 in interrupts, 250 own, and 200 of others, of which 50 the host took
+	for name, v := range map[string][2]float64{"idle": {got.Idle, 0.5}, "own": {got.Own, 0.25}, "others": {got.Others, 0.2}} {
+		if math.Abs(v[0]-v[1]) > 1e-9 {
+			t.Errorf("%s %v, want %v", name, v[0], v[1])
+		}
+	}
+	if got := shares(a, a); got.Idle != 1 || got.Others != 0 {
+		t.Errorf("in no time %+v", got)
+	}
+}
+
+func TestParseMachine(t *testing.T) {
+	c, err := parseCores([]byte("cpu  10 20 30 400 50 6 7 8 9 0\ncpu0 1 2 3\n"))
+	if want := (Ticks{All: 531, Idle: 450, Interrupts: 13, Steal: 8}); err != nil || c != want {
+		t.Errorf("got %+v, %v, want %+v", c, err, want)
+	}
+	if _, err := parseCores([]byte("intr 1\n")); err == nil {
+		t.Error("cores of nothing were read")
+	}
+	if free, err := parseFree([]byte("MemTotal: 9 kB\nMemAvailable:   2048 kB\n")); err != nil || free != 2<<20 {
+		t.Errorf("%d free, %v", free, err)
+	}
+	if _, err := parseFree([]byte("MemTotal: 9 kB\n")); err == nil {
+		t.Error("the memory of nothing was read")
+	}
+}
+
+func TestLookSeesTheTree(t *testing.T) {
+	cmd := exec.Command("/bin/sleep", "600")
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	pid := cmd.Process.Pid
+	l, err := Linux{}.Look(os.Getpid())
+	cmd.Process.Kill()
+	cmd.Wait()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []int{os.Getpid(), pid} {
+		if !slices.ContainsFunc(l.Tree, func(p Proc) bool { return p.PID == want && p.Began > 0 }) {
+			t.Errorf("process %d is not among %v", want, l.Tree)
+		}
+	}
+	if l.RSS() < 1<<20 || l.Free <= 0 || l.Cores.All <= l.Cores.Idle {
+		t.Errorf("%+v", l)
+	}
+	if _, err := (Linux{}).Look(1 << 30); err == nil {
+		t.Error("a process that isn't there was looked at")
+	}
+}
--- a/internal/lab/scale/play/play.go
+++ b/internal/lab/scale/play/play.go
@@ -43,7 +43,9 @@
 }
 
 // Note notes something beside the point.
-func (r *Reading) Note(format string, args ...any) { r.Notes = append(r.Notes, fmt.Sprintf(format, args...)) }
+func (r *Reading) Note(format string, args ...any) {
+	r.Notes = append(r.Notes, fmt.Sprintf(format, args...))
+}
 
 // Spoil says that the machine fell short, and how.
 func (r *Reading) Spoil(format string, args ...any) {
--- /dev/null
+++ b/internal/lab/scale/report.go
@@ -0,0 +1,261 @@
+package scale
+
+import (
+	"bytes"
+	"fmt"
+	"image/color"
+	"maps"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+)
+
+// page is the result as a page of Markdown.
+func (res *Result) page() string {
+	var b strings.Builder
+	table, _, plots := res.Files()
+	fmt.Fprintf(&b, "# Scale run: %s\n\n%s Grows: %s.\n\n", res.Name, res.About, res.Grows)
+	fmt.Fprintf(&b, "Written by `cottonrack lab scale`; all plays are in `%s`. Build %s, begun %s, %d cores, %d plays a point, seeds from %d on, %v of plays.\n",
+		table, res.Build, res.Began.Format(time.RFC3339), res.Cores, res.Plays, res.Seed, seconds(res.Played))
+	if len(res.Set) > 0 {
+		b.WriteString("\nSettings:")
+		for i, name := range slices.Sorted(maps.Keys(res.Set)) {
+			if i > 0 {
+				b.WriteString(",")
+			}
+			fmt.Fprintf(&b, " %s %s", name, number(res.Set[name]))
+		}
+		b.WriteString(".\n")
+	}
+	fmt.Fprintf(&b, "\n![each figure by %s](%s)\n\n## Points\n\nMedian, and the range of the plays behind it. Plays that were spoilt, failed or met an end are not in it.\n\n", res.Per, plots)
+	b.WriteString("| figure | unit |")
+	for _, p := range res.Points {
+		fmt.Fprintf(&b, " %s |", number(p.X))
+	}
+	b.WriteString("\n|" + strings.Repeat(" --- |", 2+len(res.Points)) + "\n| plays | |")
+	for _, p := range res.Points {
+		fmt.Fprintf(&b, " %d |", p.Plays)
+	}
+	b.WriteString("\n")
+	for _, f := range res.Fits {
+		fmt.Fprintf(&b, "| `%s` | %s |", f.ID, f.Unit)
+		for _, p := range res.Points {
+			b.WriteString(" " + p.Figures[f.ID].String() + " |")
+		}
+		b.WriteString("\n")
+	}
+	b.WriteString("\n## Slopes\n\ny = at 0 + slope x + square x²; the spread is the standard error of the last of them, from the plays' scatter.\n\n")
+	b.WriteString("| figure | what | form | at 0 | slope | square | spread | from | to | points | worst |\n|" + strings.Repeat(" --- |", 11) + "\n")
+	for _, f := range res.Fits {
+		if s := f.Slope; s != nil {
+			fmt.Fprintf(&b, "| `%s` | %s, %s by %s | %s | %.4g | %.4g | %.4g | %.2g | %s | %s | %d | %.1f%% |\n", f.ID, f.What, f.Unit, s.Per, s.Form, s.At0, s.Slope,
+				s.Square, s.Spread, number(s.From), number(s.To), s.Points, 100*s.Worst)
+		} else {
+			fmt.Fprintf(&b, "| `%s` | %s, %s by %s | none |%s\n", f.ID, f.What, f.Unit, res.Per, strings.Repeat(" |", 8))
+		}
+	}
+	if slices.ContainsFunc(res.Fits, func(f Fit) bool { return len(f.Why) > 0 }) {
+		b.WriteString("\nWhy these forms, where it isn't the simplest one:\n\n")
+		for _, f := range res.Fits {
+			if len(f.Why) > 0 {
+				fmt.Fprintf(&b, "- `%s`: %s\n", f.ID, strings.Join(f.Why, "; "))
+			}
+		}
+	}
+	if len(res.Ends) > 0 {
+		b.WriteString("\n## Ends of today's program\n\nNot fitted.\n\n")
+		for _, e := range res.Ends {
+			fmt.Fprintf(&b, "- at %s: %s\n", number(e.X), strings.Join(e.Reasons, "; "))
+		}
+	}
+	if len(res.Expects) > 0 {
+		b.WriteString("\n## Expected\n\n| expected | got | |\n| --- | --- | --- |\n")
+		for _, k := range res.Expects {
+			fmt.Fprintf(&b, "| %s | %s | %s |\n", k.What, k.Got, map[bool]string{true: "kept", false: "**not kept**"}[k.Kept])
+		}
+	}
+	res.plainLists(&b)
+	return b.String()
+}
+
+// plainLists tells of the plays what is no figure: those that aren't fitted, notes, and facts beside.
+func (res *Result) plainLists(b *strings.Builder) {
+	var bad, notes []string
+	counts := map[string]map[float64][]float64{}
+	for _, k := range res.Records {
+		at := fmt.Sprintf("at %s, play %d: ", number(k.X), k.Play)
+		if k.Failed != "" {
+			bad = append(bad, at+"failed: "+k.Failed)
+		}
+		for _, why := range k.Spoilt() {
+			bad = append(bad, at+"spoilt: "+why)
+		}
+		for _, n := range k.Reading.Notes {
+			if n = "at " + number(k.X) + ": " + n; !slices.Contains(notes, n) {
+				notes = append(notes, n)
+			}
+		}
+		for name, v := range k.Reading.Counts {
+			if counts[name] == nil {
+				counts[name] = map[float64][]float64{}
+			}
+			counts[name][k.X] = append(counts[name][k.X], v)
+		}
+	}
+	list := func(title string, lines []string) {
+		if len(lines) == 0 {
+			return
+		}
+		fmt.Fprintf(b, "\n## %s\n\n", title)
+		for _, l := range lines {
+			fmt.Fprintf(b, "- %s\n", strings.ReplaceAll(l, "\n", " "))
+		}
+	}
+	list("Not fitted", bad)
+	list("Notes", notes)
+	if len(counts) == 0 {
+		return
+	}
+	b.WriteString("\n## Beside\n\nMedian of all plays.\n\n| |")
+	for _, p := range res.Points {
+		fmt.Fprintf(b, " %s |", number(p.X))
+	}
+	b.WriteString("\n|" + strings.Repeat(" --- |", 1+len(res.Points)) + "\n")
+	for _, name := range slices.Sorted(maps.Keys(counts)) {
+		fmt.Fprintf(b, "| %s |", name)
+		for _, p := range res.Points {
+			if v := counts[name][p.X]; len(v) > 0 {
+				fmt.Fprintf(b, " %s |", number(median(v)))
+			} else {
+				b.WriteString(" |")
+			}
+		}
+		b.WriteString("\n")
+	}
+}
+
+// String is the median and, if there is one, the range; nothing when nothing was read.
+func (f Figure) String() string {
+	switch {
+	case f.Plays == 0:
+		return ""
+	case f.Least == f.Most:
+		return number(f.Median)
+	}
+	return fmt.Sprintf("%.4g (%.4g to %.4g)", f.Median, f.Least, f.Most)
+}
+
+func (b Build) String() string {
+	if b.Commit == "" {
+		return "not known"
+	}
+	return b.Commit
+}
+
+func seconds(s float64) time.Duration {
+	return time.Duration(s * float64(time.Second)).Round(time.Second / 10)
+}
+
+// The sheet of plots.
+const (
+	plotColumns = 2
+	plotWidth   = 12 * vg.Centimeter
+	plotHeight  = 8 * vg.Centimeter
+	logFrom     = 20 // the scales are logarithmic where x grows by more than this
+)
+
+var (
+	dotColor  = color.RGBA{R: 0x1f, G: 0x4e, B: 0x9c, A: 0xff}
+	lineColor = color.RGBA{R: 0xc0, G: 0x40, B: 0x20, A: 0xff}
+)
+
+// plots draws each figure: a dot for each play that is fitted, and the slope.
+func (res *Result) plots() ([]byte, error) {
+	var plots []*plot.Plot
+	for _, f := range res.Fits {
+		p, err := res.plot(f)
+		if err != nil {
+			return nil, fmt.Errorf("plot of %s: %w", f.ID, err)
+		}
+		plots = append(plots, p)
+	}
+	rows := max(1, (len(plots)+plotColumns-1)/plotColumns)
+	canvas := vgsvg.New(plotColumns*plotWidth, vg.Length(rows)*plotHeight)
+	dc := draw.New(canvas)
+	tiles := draw.Tiles{Rows: rows, Cols: plotColumns, PadX: 5 * vg.Millimeter, PadY: 5 * vg.Millimeter, PadRight: 3 * vg.Millimeter, PadTop: 2 * vg.Millimeter}
+	for i, p := range plots {
+		p.Draw(tiles.At(dc, i%plotColumns, i/plotColumns))
+	}
+	var b bytes.Buffer
+	if _, err := canvas.WriteTo(&b); err != nil {
+		return nil, fmt.Errorf("plot: %w", err)
+	}
+	return b.Bytes(), nil
+}
+
+func (res *Result) plot(f Fit) (*plot.Plot, error) {
+	p := plot.New()
+	p.Title.Text = f.ID
+	p.X.Label.Text, p.Y.Label.Text = res.Per, f.Unit
+	var dots plotter.XYs
+	for _, pt := range res.Points {
+		for _, y := range res.values(f.ID, pt.X) {
+			dots = append(dots, plotter.XY{X: pt.X, Y: y})
+		}
+	}
+	if len(dots) == 0 {
+		p.Title.Text += " (nothing read)"
+		return p, nil
+	}
+	first, last := dots[0].X, dots[len(dots)-1].X
+	logs := first > 0 && last/first > logFrom && !slices.ContainsFunc(dots, func(d plotter.XY) bool { return d.Y <= 0 })
+	sc, err := plotter.NewScatter(dots)
+	if err != nil {
+		return nil, err
+	}
+	sc.GlyphStyle = draw.GlyphStyle{Color: dotColor, Radius: vg.Points(2.5), Shape: draw.CircleGlyph{}}
+	if s := f.Slope; s != nil {
+		p.Title.Text += ", " + s.Form
+		var line plotter.XYs
+		const steps = 60
+		for i := range steps + 1 {
+			part := float64(i) / steps
+			x := s.From + part*(s.To-s.From)
+			if logs {
+				x = s.From * math.Pow(s.To/s.From, part)
+			}
+			if y := s.at(x); !logs || y > 0 {
+				line = append(line, plotter.XY{X: x, Y: y})
+			}
+		}
+		if len(line) > 1 {
+			l, err := plotter.NewLine(line)
+			if err != nil {
+				return nil, err
+			}
+			l.Color = lineColor
+			p.Add(l)
+		}
+	}
+	p.Add(sc)
+	if !logs {
+		p.Y.Min = min(0, p.Y.Min)
+		if p.Y.Max <= p.Y.Min {
+			p.Y.Max = p.Y.Min + 1
+		}
+		return p, nil
+	}
+	if p.Y.Max < 2*p.Y.Min { // a flat figure is to look flat
+		p.Y.Min, p.Y.Max = p.Y.Min/3, 3*p.Y.Max
+	}
+	p.X.Scale, p.Y.Scale = plot.LogScale{}, plot.LogScale{}
+	p.X.Tick.Marker, p.Y.Tick.Marker = plot.LogTicks{Prec: -1}, plot.LogTicks{Prec: -1}
+	return p, nil
+}
--- /dev/null
+++ b/internal/lab/scale/run_test.go
@@ -0,0 +1,602 @@
+package scale
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"starlingusher/internal/lab/proc"
+	"starlingusher/internal/lab/scale/play"
+)
+
+const patience = 30 * time.Second
+
+// TestMain is the process of a play, or a whole run, when a test starts this binary as one.
+func TestMain(m *testing.M) {
+	switch os.Getenv("SCALE_TEST") {
+	case "":
+		goleak.VerifyTestMain(m)
+	case "play":
+		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+		defer stop()
+		if err := PlayOne(ctx, os.Stdin, os.Stdout, stubAxes, slog.New(slog.DiscardHandler)); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+	case "run":
+		f, err := Parse([]byte(os.Getenv("SCALE_TEST_FILE")), stubAxes)
+		if err == nil {
+			_, err = Run(context.Background(), f, stubOptions(os.Getenv("SCALE_TEST_DIR"), &testMachine{}))
+		}
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(3) // it was to be killed
+	}
+}
+
+// Modes of the stub axis.
+const (
+	plain  = iota
+	spoils // the play says itself that the machine fell short
+	ends   // a cap is met at 20
+	fails  // at 4
+	hangs  // at 4, until it is told to end; at once if it was hung before
+	leaves // a process behind at 4
+	odd    // a figure that isn't the axis' own
+	dies   // by a signal at 4, the first time
+)
+
+// stubAxes are a made-up axis. Its plays tell of themselves through files in the folder that SCALE_TEST_MARKS names.
+var stubAxes = []play.Axis{{
+	Name: "stub", About: "nothing real", Per: "thing",
+	Measures: []play.Measure{
+		{ID: "stub.bytes", What: "bytes of a thing", Unit: "B", Exact: true},
+		{ID: "stub.step", What: "time of a thing", Unit: "s"},
+	},
+	Settings: map[string]play.Setting{
+		"mode": {Default: plain, Least: 0, Most: 9, About: "what goes wrong"},
+		"step": {Default: 10, Least: 0, Most: 1e9, About: "bytes of a thing"},
+	},
+	Play: playStub,
+}}
+
+func marks(name string) string { return filepath.Join(os.Getenv("SCALE_TEST_MARKS"), name) }
+
+// mark makes a file whole at once, and tells whether it was there before.
+func mark(name, text string) (before bool) {
+	if _, err := os.Stat(marks(name)); err == nil {
+		return true
+	}
+	part := marks(name + ".part")
+	if err := errors.Join(os.WriteFile(part, []byte(text), 0o600), os.Rename(part, marks(name))); err != nil {
+		panic(err)
+	}
+	return false
+}
+
+func playStub(ctx context.Context, s play.Spec, log *slog.Logger) (play.Reading, error) {
+	var r play.Reading
+	if in, err := os.ReadDir(s.Dir); err != nil || len(in) > 0 {
+		return r, fmt.Errorf("its folder holds %v, %v", in, err)
+	}
+	if err := os.WriteFile(filepath.Join(s.Dir, "left"), nil, 0o600); err != nil { // for the run to remove
+		return r, err
+	}
+	r.Value("stub.bytes", 100+s.Set["step"]*s.X)
+	r.Value("stub.step", 1+0.001*float64(s.Seed%3))
+	r.Count("seed", float64(s.Seed))
+	switch mode := s.Set["mode"]; {
+	case mode == spoils && s.Seed%2 == 0:
+		r.Spoil("a made-up reason")
+	case mode == ends && s.X == 20:
+		r.End("a cap of %d", 19)
+	case mode == odd && s.X == 4:
+		r.Value("stub.odd", 1)
+	case mode == fails && s.X == 4:
+		return r, errors.New("a made-up fault")
+	case mode == dies && s.X == 4:
+		if !mark("died", "") {
+			syscall.Kill(os.Getpid(), syscall.SIGKILL)
+			select {}
+		}
+	case mode == hangs && s.X == 4:
+		sup := proc.NewSupervisor()
+		defer sup.Close()
+		p, err := sup.Start(proc.Spec{Name: "sleeper", Command: []string{"/bin/sleep", "600"}})
+		if err != nil {
+			return r, err
+		}
+		if !mark("hung", fmt.Sprint(os.Getpid(), p.PID())) {
+			<-ctx.Done()
+			return r, ctx.Err()
+		}
+	case mode == leaves && s.X == 4:
+		cmd := exec.Command("/bin/sleep", "600")
+		cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+		if err := cmd.Start(); err != nil {
+			return r, err
+		}
+		mark("left", strconv.Itoa(cmd.Process.Pid))
+		for !exists(marks("seen")) { // by the run's watch
+			select {
+			case <-ctx.Done():
+				return r, ctx.Err()
+			case <-time.After(time.Millisecond):
+			}
+		}
+	}
+	return r, nil
+}
+
+func exists(path string) bool {
+	_, err := os.Stat(path)
+	return err == nil
+}
+
+// testMachine is this one, but for its cores: they are as a test wants them.
+type testMachine struct {
+	mu     sync.Mutex
+	looks  int
+	others float64 // share of the cores that others take
+	own    float64
+	more   []Proc // beside the real tree; none of them is there
+	free   int64  // if not 0
+	seen   func(Look)
+}
+
+func (m *testMachine) Look(root int) (Look, error) {
+	l, err := Linux{}.Look(root)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.looks++
+	all := 1000 * float64(m.looks)
+	l.Cores, l.Own = Ticks{All: all, Idle: all * (1 - m.others - m.own)}, all*m.own
+	l.Free = 4 << 30
+	if m.free != 0 && m.looks > 1 {
+		l.Free = m.free
+	}
+	if m.looks > 1 {
+		l.Tree = append(l.Tree, m.more...)
+	}
+	if m.seen != nil {
+		m.seen(l)
+	}
+	return l, err
+}
+
+// childEnv is that of this binary as a child. The race detector would hold up its exit by a second.
+func childEnv(more ...string) []string {
+	return append(append(os.Environ(), "GORACE=atexit_sleep_ms=0"), more...)
+}
+
+func stubOptions(dir string, m Machine) Options {
+	return Options{Dir: dir, Command: []string{os.Args[0]}, Env: childEnv("SCALE_TEST=play"), Build: Build{"c0ffee", map[string]string{"a": "1"}}, Machine: m}
+}
+
+// stubFile is a run of the stub axis in some mode.
+func stubFile(t *testing.T, mode int, change ...string) File {
+	t.Helper()
+	t.Setenv("SCALE_TEST_MARKS", t.TempDir())
+	f, err := Parse([]byte(stubText(mode, change...)), stubAxes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+func stubText(mode int, change ...string) string {
+	text := fmt.Sprintf("name = \"stub\"\naxis = \"stub\"\npoints = [1, 4, 20]\nplays = 3\nlimit = \"1m\"\n[set]\nmode = %d\n", mode)
+	return strings.NewReplacer(change...).Replace(text)
+}
+
+func lookAt(t *testing.T, f File, o Options) *Result {
+	t.Helper()
+	res, err := Run(t.Context(), f, o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if exists(filepath.Join(o.Dir, playFolder)) {
+		t.Error("the folder of a play was left")
+	}
+	return res
+}
+
+// gone waits for the end of processes.
+func gone(t *testing.T, pids ...int) {
+	t.Helper()
+	for _, pid := range pids {
+		for by := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+			raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+			if err != nil || strings.Contains(string(raw), ") Z ") {
+				break // or waiting for its new parent to notice
+			}
+			if time.Now().After(by) {
+				t.Fatalf("process %d was left behind", pid)
+			}
+		}
+	}
+}
+
+// marked waits for a mark and reads its numbers.
+func marked(t *testing.T, name string) (numbers []int) {
+	t.Helper()
+	for by := time.Now().Add(patience); !exists(marks(name)); time.Sleep(time.Millisecond) {
+		if time.Now().After(by) {
+			t.Fatal("never: " + name)
+		}
+	}
+	raw, err := os.ReadFile(marks(name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, w := range strings.Fields(string(raw)) {
+		n, err := strconv.Atoi(w)
+		if err != nil {
+			t.Fatal(err)
+		}
+		numbers = append(numbers, n)
+	}
+	return numbers
+}
+
+func slopeOf(t *testing.T, res *Result, id string) *slope {
+	t.Helper()
+	i := slices.IndexFunc(res.Fits, func(f Fit) bool { return f.ID == id })
+	if i < 0 {
+		t.Fatal("no " + id)
+	}
+	return res.Fits[i].Slope
+}
+
+func TestRun(t *testing.T) {
+	f := stubFile(t, plain)
+	o := stubOptions(t.TempDir(), &testMachine{})
+	var told []Progress
+	o.Progress = func(p Progress) { told = append(told, p) }
+	res := lookAt(t, f, o)
+	if !res.Kept || res.Failed+res.Spoilt != 0 || len(res.Records) != 9 {
+		t.Fatalf("%+v", res)
+	}
+	s := slopeOf(t, res, "stub.bytes")
+	if s == nil || s.Form != Linear || s.Slope < 9.999 || s.Slope > 10.001 || s.From != 1 || s.To != 20 || s.Points != 3 || s.Plays != 3 || s.Commit != "c0ffee" || s.Per != "thing" {
+		t.Errorf("slope %+v", s)
+	}
+	if s = slopeOf(t, res, "stub.step"); s == nil || s.Form != Constant || s.Slope != 0 {
+		t.Errorf("slope %+v", s)
+	}
+	seeds := map[uint64]bool{}
+	for _, k := range res.Records {
+		seeds[k.Seed] = true
+		if k.RSS <= 0 || k.Procs < 1 || k.Took <= 0 {
+			t.Errorf("record %+v", k)
+		}
+	}
+	if len(seeds) != 9 {
+		t.Errorf("the plays had %d seeds", len(seeds))
+	}
+	if last := told[len(told)-1]; last.Done != 8 || last.All != 9 || !last.Guessed || told[0].Done != 0 || told[0].Guessed {
+		t.Errorf("told %+v first and %+v last", told[0], last)
+	}
+	// A folder in which a run has begun is no place for another one.
+	if _, err := Run(t.Context(), f, o); !errors.Is(err, os.ErrExist) {
+		t.Errorf("a second run in the same folder: %v", err)
+	}
+	// Its files are there, whole, and name no place of this machine.
+	if err := res.Write(o.Dir); err != nil {
+		t.Fatal(err)
+	}
+	table, page, plots := res.Files()
+	for name, has := range map[string]string{table: `"form": "linear"`, page: "| `stub.bytes` | B | 110 | 140 | 300 |", plots: "<svg"} {
+		raw, err := os.ReadFile(filepath.Join(o.Dir, name))
+		if err != nil || !bytes.Contains(raw, []byte(has)) {
+			t.Errorf("%s, %v: no %q in\n%.2000s", name, err, has, raw)
+		}
+		if bytes.Contains(raw, []byte(o.Dir)) {
+			t.Errorf("%s names the folder of the run", name)
+		}
+	}
+}
+
+// What the machine or the play itself says to be spoilt is told, not fitted, and played again by a resumed run.
+func TestSpoiltIsNotFitted(t *testing.T) {
+	t.Run("by the play", func(t *testing.T) {
+		f := stubFile(t, spoils)
+		res := lookAt(t, f, stubOptions(t.TempDir(), &testMachine{}))
+		if res.Spoilt != 4 || slopeOf(t, res, "stub.bytes") != nil { // seeds 1 to 9, of which the even ones are spoilt
+			t.Errorf("%d spoilt, slope %+v", res.Spoilt, slopeOf(t, res, "stub.bytes"))
+		}
+	})
+	for name, m := range map[string]*testMachine{
+		"others":    {others: 0.3, own: 0.1},
+		"full":      {own: 0.99},
+		"memory":    {more: []Proc{{PID: -1, RSS: MostMemory}}},
+		"processes": {more: make([]Proc, MostProcesses)},
+		"short":     {free: leastFree / 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := stubFile(t, hangs) // what passes a bound is ended; what doesn't, would hang
+			if name == "others" || name == "full" {
+				f = stubFile(t, plain)
+			}
+			o := stubOptions(t.TempDir(), m)
+			res := lookAt(t, f, o)
+			if res.Spoilt == 0 || res.Failed != 0 || slopeOf(t, res, "stub.bytes") != nil {
+				t.Errorf("%d spoilt, %d failed, slope %+v", res.Spoilt, res.Failed, slopeOf(t, res, "stub.bytes"))
+			}
+			if name == "memory" || name == "processes" || name == "short" {
+				if exists(marks("hung")) {
+					gone(t, marked(t, "hung")...)
+				}
+			}
+			page := res.page()
+			if !strings.Contains(page, "## Not fitted") || !strings.Contains(page, "spoilt: ") {
+				t.Errorf("the page doesn't say so:\n%s", page)
+			}
+			// A machine that has come to rest lets it be played again.
+			o.Resume, o.Machine = true, &testMachine{}
+			mark("hung", "")
+			if res = lookAt(t, f, o); res.Spoilt != 0 || slopeOf(t, res, "stub.bytes") == nil {
+				t.Errorf("resumed: %d spoilt, slope %+v", res.Spoilt, slopeOf(t, res, "stub.bytes"))
+			}
+		})
+	}
+}
+
+func TestEndsAreListed(t *testing.T) {
+	f := stubFile(t, ends, "[1, 4, 20]", "[1, 2, 4, 20]")
+	res := lookAt(t, f, stubOptions(t.TempDir(), &testMachine{}))
+	if len(res.Ends) != 1 || res.Ends[0].X != 20 || !slices.Equal(res.Ends[0].Reasons, []string{"a cap of 19"}) {
+		t.Errorf("ends %+v", res.Ends)
+	}
+	if s := slopeOf(t, res, "stub.bytes"); s == nil || s.To != 4 {
+		t.Errorf("slope %+v", s)
+	}
+	if !res.Kept {
+		t.Error("an end is no failure")
+	}
+}
+
+// A play that goes wrong is told with its reason, and the others go on.
+func TestFailedPlays(t *testing.T) {
+	for name, c := range map[string]struct {
+		mode int
+		want string
+	}{
+		"fault":  {fails, "a made-up fault"},
+		"figure": {odd, "stub.odd"},
+		"signal": {dies, "killed"},
+		"limit":  {hangs, "limit of 2s"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			limit := "1m"
+			if c.mode == hangs {
+				limit = "2s"
+			}
+			f := stubFile(t, c.mode, "1m", limit)
+			o := stubOptions(t.TempDir(), &testMachine{})
+			res := lookAt(t, f, o)
+			if res.Kept || res.Failed == 0 || res.Failed > 3 || len(res.Records) != 9 {
+				t.Fatalf("%d failed of %d", res.Failed, len(res.Records))
+			}
+			for _, k := range res.Records {
+				if k.Failed != "" && (k.X != 4 || !strings.Contains(k.Failed, c.want) || len(k.Reading.Values) > 0) {
+					t.Errorf("record %+v", k)
+				}
+			}
+			if c.mode == hangs {
+				gone(t, marked(t, "hung")...)
+			}
+			if c.mode == dies || c.mode == hangs { // only the first time
+				o.Resume = true
+				if res = lookAt(t, f, o); !res.Kept || res.Failed != 0 || slopeOf(t, res, "stub.bytes") == nil {
+					t.Errorf("resumed: %d failed", res.Failed)
+				}
+			}
+		})
+	}
+}
+
+func TestLeftProcessesAreEnded(t *testing.T) {
+	f := stubFile(t, leaves, "plays = 3", "plays = 1")
+	m := &testMachine{seen: func(l Look) {
+		if !exists(marks("left")) || exists(marks("seen")) {
+			return
+		}
+		pid := marked(t, "left")[0]
+		if slices.ContainsFunc(l.Tree, func(p Proc) bool { return p.PID == pid }) {
+			mark("seen", "")
+		}
+	}}
+	res := lookAt(t, f, stubOptions(t.TempDir(), m))
+	if res.Failed != 1 || !strings.Contains(res.Records[1].Failed, "left 1 processes behind") {
+		t.Errorf("%+v", res.Records)
+	}
+	gone(t, marked(t, "left")...)
+}
+
+// A run that is ended early leaves nothing running, and goes on later where it was.
+func TestEndedEarlyAndResumed(t *testing.T) {
+	f := stubFile(t, hangs)
+	o := stubOptions(t.TempDir(), &testMachine{})
+	ctx, cancel := context.WithCancel(t.Context())
+	o.Progress = func(p Progress) {
+		if p.X == 4 && exists(marks("hung")) {
+			cancel()
+		}
+	}
+	if _, err := Run(ctx, f, o); !errors.Is(err, context.Canceled) {
+		t.Fatalf("ended with %v", err)
+	}
+	gone(t, marked(t, "hung")...)
+	if exists(filepath.Join(o.Dir, playFolder)) {
+		t.Error("the folder of a play was left")
+	}
+	resumed(t, f, o)
+}
+
+// A run that is killed takes its play and that one's processes with it, and goes on later where it was.
+func TestKilledAndResumed(t *testing.T) {
+	f := stubFile(t, hangs)
+	o := stubOptions(t.TempDir(), &testMachine{})
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = childEnv("SCALE_TEST=run", "SCALE_TEST_FILE="+stubText(hangs), "SCALE_TEST_DIR="+o.Dir)
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	pids := marked(t, "hung")
+	cmd.Process.Kill()
+	cmd.Wait()
+	gone(t, pids...)
+	// It may have been killed within a write, too.
+	file, err := os.OpenFile(filepath.Join(o.Dir, PointsFile), os.O_APPEND|os.O_WRONLY, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = io.WriteString(file, `{"x":4,"play":0,"read`)
+	if err := errors.Join(err, file.Close()); err != nil {
+		t.Fatal(err)
+	}
+	resumed(t, f, o)
+}
+
+// resumed goes on with a run that has kept one play.
+func resumed(t *testing.T, f File, o Options) {
+	t.Helper()
+	before, err := os.ReadFile(filepath.Join(o.Dir, PointsFile))
+	if err != nil {
+		t.Fatal(err)
+	}
+	kept := before[:bytes.LastIndexByte(before, '\n')+1]
+	if n := bytes.Count(kept, []byte("\n")); n != 2 {
+		t.Fatalf("%d lines were kept:\n%s", n, before)
+	}
+	o.Resume = true
+	var first *Progress
+	o.Progress = func(p Progress) {
+		if first == nil {
+			first = &p
+		}
+	}
+	res := lookAt(t, f, o)
+	if first == nil || first.Done != 1 || first.X != 4 {
+		t.Errorf("went on at %+v", first)
+	}
+	if !res.Kept || len(res.Records) != 9 || slopeOf(t, res, "stub.bytes") == nil {
+		t.Errorf("%+v", res)
+	}
+	after, err := os.ReadFile(filepath.Join(o.Dir, PointsFile))
+	if err != nil || !bytes.HasPrefix(after, kept) || bytes.Count(after, []byte("\n")) != 10 {
+		t.Errorf("%v, the points are now\n%s", err, after)
+	}
+}
+
+func TestResumeIsRefused(t *testing.T) {
+	f := stubFile(t, plain, "plays = 3", "plays = 1")
+	o := stubOptions(t.TempDir(), &testMachine{})
+	lookAt(t, f, o)
+	path := filepath.Join(o.Dir, PointsFile)
+	whole, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	o.Resume = true
+	refused := func(name, want string, f File, o Options) {
+		t.Helper()
+		var r *RefusedError
+		if _, err := Run(t.Context(), f, o); !errors.As(err, &r) || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	other := o
+	other.Build = Build{"c0ffee", map[string]string{"a": "2"}}
+	refused("another build", "another build", f, other)
+	refused("another file", "another text", stubFile(t, ends, "plays = 3", "plays = 1"), o)
+	other = o
+	other.Dir = t.TempDir()
+	refused("nothing there", "holds no "+PointsFile, f, other)
+	spoilt := bytes.Replace(whole, []byte(`"x":4`), []byte(`"x":?`), 1)
+	if err := os.WriteFile(path, spoilt, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	refused("a line in the middle", "line 3 of "+PointsFile+" is spoilt", f, o)
+	// A run that got no further than half its first line begins anew.
+	if err := os.WriteFile(path, whole[:20], 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if res := lookAt(t, f, o); len(res.Records) != 3 {
+		t.Errorf("%+v", res.Records)
+	}
+}
+
+func TestExpected(t *testing.T) {
+	const bound = "\n[[expect]]\nid = \"stub.bytes\"\nleast = 100\nmost = 200\n[[expect]]\nid = \"stub.bytes\"\nat = 20\nmost = 300\n"
+	f := stubFile(t, plain, "plays = 3", "plays = 1", "mode = 0", "mode = 0"+bound)
+	// Bounds of bytes hold on a busy machine, too.
+	res := lookAt(t, f, stubOptions(t.TempDir(), &testMachine{others: 0.9}))
+	var got []bool
+	for _, k := range res.Expects {
+		got = append(got, k.Kept)
+	}
+	if res.Kept || !slices.Equal(got, []bool{true, true, false, true}) || res.Spoilt != 3 {
+		t.Errorf("%+v", res.Expects)
+	}
+	// A figure that wasn't read keeps no bound.
+	f = stubFile(t, fails, "plays = 3", "plays = 1", "mode = 3", "mode = 3"+bound)
+	res = lookAt(t, f, stubOptions(t.TempDir(), &testMachine{}))
+	if k := res.Expects[1]; k.Kept || !strings.Contains(k.Got, "0 of 1") {
+		t.Errorf("%+v", res.Expects)
+	}
+}
+
+func TestPlayOneRefuses(t *testing.T) {
+	spec := func(s play.Spec) string {
+		raw, err := json.Marshal(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return string(raw)
+	}
+	for name, c := range map[string]struct{ in, want string }{
+		"nothing":  {"", "EOF"},
+		"unknown":  {`{"axes":"stub"}`, "axes"},
+		"axis":     {spec(play.Spec{Axis: "stab"}), `no axis "stab"`},
+		"settings": {spec(play.Spec{Axis: "stub", Set: map[string]float64{"mode": 99}}), "mode"},
+	} {
+		var out bytes.Buffer
+		err := PlayOne(t.Context(), strings.NewReader(c.in), &out, stubAxes, slog.New(slog.DiscardHandler))
+		if err == nil || !strings.Contains(err.Error(), c.want) || out.Len() > 0 {
+			t.Errorf("%s: %v, %q", name, err, out.String())
+		}
+	}
+}
+
+func TestTimeLeft(t *testing.T) {
+	r := run{
+		records: []Record{{X: 0, Took: 1}, {X: 10, Took: 2}, {X: 10, Play: 1, Took: 4}},
+		todo:    []Record{{X: 20}, {X: 0, Play: 1}, {X: 10, Play: 2}},
+	}
+	// Twice the 3 s at 10, less what it has run; then 1 s and 3 s.
+	if got, ok := r.left(2 * time.Second); !ok || got != 8*time.Second {
+		t.Errorf("%v left, %v", got, ok)
+	}
+	r.records = nil
+	if _, ok := r.left(0); ok {
+		t.Error("guessed from nothing")
+	}
+}
