Scale: the down axis names where its steps go

The square in the destinations that are down comes from lameHeld, by a profile of the held axis with 1,000 of them; said with the axis.

--- a/internal/lab/scale/burden/down.go
+++ b/internal/lab/scale/burden/down.go
@@ -21,7 +21,8 @@
 		Per:  "destination down",
 		About: "Of the destinations that a node has traffic for, D are down: each call and probe there fails. The decision module alone, on a " +
 			"clock of its own: what it sends there once it knows, and the processor time of its steps. The module asks for no probe of its own " +
-			"accord today: what it sends are trials, with events that wait.",
+			"accord today: what it sends are trials, with events that wait. A step walks the destinations that something waits for by their square " +
+			"where all their endpoints failed last (choice.go: release, next, lameHeld).",
 		Measures: []play.Measure{
 			{ID: "node.down.probes", What: "probes and calls to destinations that are down, once that is known, all together", Unit: "count/s", Exact: true},
 			{ID: "node.down.cpu", What: "processor time of the decision module's steps, by the destinations that are down", Unit: "s/s"},
