Lab: a write of a scale play goes on to the next replica when one does not answer

A play whose leader had been killed and came back as the follower that is stopped next hung: the write asked the stopped replica again and again (found in the race run of TestFaults). Each try begins at the next replica now, and all of it ends after a minute. The idle window waits until each node has one watch: at 820 nodes the whole list had cut 17 of them.

--- a/internal/lab/scale/hollow/nodes.go
+++ b/internal/lab/scale/hollow/nodes.go
@@ -200,6 +200,13 @@
 	var real [2]float64
 	var dir [2]uses
 	at := g.svc.places()
+	// The whole list may have taken a full machine longer than a watch waits; those that it was cut for ask anew.
+	if err := awaitEvery(ctx, lookRare, "one watch of each node", func() bool {
+		t, err := carried(at, g.svc.from())
+		return err == nil && t.conns == len(g.hollow)
+	}); err != nil {
+		return err
+	}
 	for i := range 2 {
 		var err error
 		var t traffic
--- a/internal/lab/scale/hollow/read.go
+++ b/internal/lab/scale/hollow/read.go
@@ -196,7 +196,8 @@
 const (
 	longest  = 60 * time.Second // for what must come
 	look     = time.Millisecond
-	lookWide = 10 * time.Millisecond // where a look is a request
+	lookWide = 10 * time.Millisecond  // where a look is a request
+	lookRare = 200 * time.Millisecond // where it is at all descriptors
 )
 
 // await waits for what must come, to a millisecond.
--- a/internal/lab/scale/hollow/service.go
+++ b/internal/lab/scale/hollow/service.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -33,7 +34,8 @@
 
 const (
 	serviceWait = 20 * time.Second
-	writeWait   = 10 * time.Second // for one write's answer
+	listWait    = 20 * time.Second // for the answer to a write of a whole list
+	changeWait  = 3 * time.Second  // and to one of a few endpoints
 	tryAgain    = 50 * time.Millisecond
 )
 
@@ -60,7 +62,7 @@
 	}
 	// Writes come from an address of their own, so that carried does not count them among the nodes'.
 	dial := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(svc.from())}}
-	svc.client = &http.Client{Timeout: writeWait, Transport: &http.Transport{DialContext: dial.DialContext, MaxIdleConnsPerHost: 64}}
+	svc.client = &http.Client{Timeout: listWait, Transport: &http.Transport{DialContext: dial.DialContext, MaxIdleConnsPerHost: 64}}
 	o := replica.Options{Command: []string{s.Self, "directory", "serve"}, Dir: filepath.Join(s.Dir, "directory"), Block: svc.block, Supervisor: svc.sup, Seed: s.Seed}
 	if linked {
 		o.Weather = &relay.Weather{}
@@ -202,23 +204,36 @@
 	return s.send(ctx, raw, whole)
 }
 
-// send is write with a body that was encoded before.
+// send is write with a body that was encoded before. A replica that does not answer, as one that is stopped, is left for the next:
+// an Operator sends nothing again whose outcome is not known.
 func (s *service) send(ctx context.Context, raw []byte, whole bool) (int64, error) {
-	method := http.MethodPost
+	method, answerIn := http.MethodPost, changeWait
 	if whole {
-		method = http.MethodPut
+		method, answerIn = http.MethodPut, listWait
 	}
-	op := s.operator(s.replicas...)
-	for {
+	ctx, cancel := context.WithTimeoutCause(ctx, longest, fmt.Errorf("a write was not done within %v", longest))
+	defer cancel()
+	once := func(op *directory.Operator) ([]byte, error) {
+		ctx, cancel := context.WithTimeout(ctx, answerIn)
+		defer cancel()
 		answer, _, err := op.Do(ctx, method, "/registry/instances?confirm=1", "*", raw)
-		var w directory.Written
-		switch {
-		case err == nil:
+		return answer, err
+	}
+	for try := 0; ; try++ {
+		first := try % len(s.replicas)
+		answer, err := once(s.operator(slices.Concat(s.replicas[first:], s.replicas[:first])...))
+		if err == nil {
+			var w directory.Written
 			err = json.Unmarshal(answer, &w)
 			return w.Revision, err
-		case !errors.Is(err, directory.ErrUnknown) || !registry.Sleep(ctx, tryAgain):
+		}
+		if cause := context.Cause(ctx); cause != nil {
+			return 0, fmt.Errorf("%w: %w", cause, err)
+		}
+		if !errors.Is(err, directory.ErrUnknown) && !errors.Is(err, directory.ErrRefused) {
 			return 0, err
 		}
+		registry.Sleep(ctx, tryAgain)
 	}
 }
 
