--- a/cmd/cottonrack/lab.go
+++ b/cmd/cottonrack/lab.go
@@ -30,6 +30,8 @@
 	Kinds          labKindsCmd     `cmd:"" help:"List the kinds of faults that an experiment may name."`
 	DirectorySize  labSizeCmd      `cmd:"" help:"Measure the list service: watches, writes, fail-over, and the plain ways beside it."`
 	PlainDirectory labPlainCmd     `cmd:"" hidden:""`
+	Scale          labScaleCmd     `cmd:"" help:"Measure what grows with an axis of the fleet's size, and fit its slopes."`
+	ScalePlay      labScalePlayCmd `cmd:"" hidden:""`
 	Directory      labDirectoryCmd `cmd:"" help:"Prove the list service: three replicas under faults, writers and watchers, and a checker."`
 }
 
--- /dev/null
+++ b/cmd/cottonrack/scale.go
@@ -0,0 +1,273 @@
+package main
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"os/exec"
+	"path"
+	"path/filepath"
+	"runtime/debug"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"golang.org/x/term"
+
+	"starlingusher/internal/lab/scale"
+	"starlingusher/internal/lab/scale/burden"
+	"starlingusher/internal/lab/scale/hollow"
+	"starlingusher/internal/lab/scale/play"
+)
+
+// axes are all axes that a scale run can play.
+func axes() []play.Axis { return slices.Concat(hollow.Axes(), burden.Axes()) }
+
+type labScaleCmd struct {
+	File   string `arg:"" optional:"" help:"The scale run, a TOML file (docs/scale.md)."`
+	Axes   bool   `help:"List the axes, what is read of each, and their settings; nothing is played."`
+	Out    string `help:"Folder for the points as they come and the results; by default a new one under the system's, removed when the file expects something and all of it was kept."`
+	Resume bool   `help:"Go on with the run in --out that was cut short: the same file, the same build."`
+	Slopes string `help:"Put the slopes into this file, in place of those of the same id, and the table, page and plots into --pages."`
+	Pages  string `help:"Folder of the tables that --slopes refers to." default:"docs/scale"`
+	Node   string `help:"The node's program." default:"bin/coralyard" type:"path"`
+}
+
+// Run plays the file, and writes its results.
+func (c *labScaleCmd) Run(a *app) error {
+	if c.Axes {
+		return a.listAxes()
+	}
+	if c.File == "" {
+		return wrongUse{errors.New("name a file, as experiments/scale/destinations.toml")}
+	}
+	raw, err := os.ReadFile(c.File)
+	if err != nil {
+		return wrongUse{err}
+	}
+	f, err := scale.Parse(raw, axes())
+	if err != nil {
+		return wrongUse{inFile(c.File, err)}
+	}
+	if c.Resume && c.Out == "" {
+		return wrongUse{errors.New("--resume needs the --out of the run that was cut short")}
+	}
+	opts, err := c.options(a)
+	if err != nil {
+		return err
+	}
+	passing := false
+	if c.Resume {
+		opts.Dir = c.Out
+	} else if opts.Dir, passing, err = resultsFolder(c.Out); err != nil {
+		return err
+	}
+	show, done := a.scaleProgress(f)
+	opts.Progress = show
+	res, err := scale.Run(a.ctx, f, opts)
+	done()
+	var refused *scale.RefusedError
+	switch {
+	case errors.As(err, &refused):
+		return wrongUse{err}
+	case err != nil:
+		return fmt.Errorf("%s: %w; what was played is kept, go on with --resume --out %s", f.Name, err, opts.Dir)
+	}
+	if err := res.Write(opts.Dir); err != nil {
+		return err
+	}
+	if c.Slopes != "" {
+		table, _, _ := res.Files()
+		if err := errors.Join(res.Write(c.Pages), res.MergeSlopes(c.Slopes, path.Join(filepath.ToSlash(c.Pages), table))); err != nil {
+			return err
+		}
+	}
+	if a.asJSON {
+		err = printJSON(a.out, res)
+	} else {
+		err = printScale(a.out, res)
+	}
+	if err != nil {
+		return err
+	}
+	if passing && len(res.Expects) > 0 && res.Kept {
+		return os.RemoveAll(opts.Dir)
+	}
+	fmt.Fprintf(a.err, "results: %s\n", opts.Dir)
+	if !res.Kept {
+		return errNotKept
+	}
+	return nil
+}
+
+// options are a run's programs and what is known of their build.
+func (c *labScaleCmd) options(a *app) (scale.Options, error) {
+	o := scale.Options{Resume: c.Resume, Env: os.Environ(), Log: a.log}
+	node, err := exec.LookPath(c.Node)
+	if err == nil {
+		node, err = filepath.Abs(node)
+	}
+	if err != nil {
+		return o, wrongUse{fmt.Errorf("the node's program: %w; build it (README.md) or name it with --node", err)}
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return o, err
+	}
+	o.Node, o.Self, o.Command = node, self, []string{self, "--log-level", "info", "lab", "scale-play"}
+	o.Build = scale.Build{Commit: commit(), Programs: map[string]string{}}
+	for name, file := range map[string]string{"coralyard": node, "cottonrack": self} {
+		if o.Build.Programs[name], err = fileSum(file); err != nil {
+			return o, err
+		}
+	}
+	return o, nil
+}
+
+// commit is what this program was built from; "+" behind it says that the tree had changes.
+func commit() string {
+	var revision, changed string
+	if info, ok := debug.ReadBuildInfo(); ok {
+		for _, s := range info.Settings {
+			switch {
+			case s.Key == "vcs.revision":
+				revision = s.Value[:min(len(s.Value), 7)]
+			case s.Key == "vcs.modified" && s.Value == "true":
+				changed = "+"
+			}
+		}
+	}
+	return revision + changed
+}
+
+func fileSum(file string) (string, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return "", err
+	}
+	defer f.Close()
+	h := sha256.New()
+	if _, err := io.Copy(h, f); err != nil {
+		return "", err
+	}
+	return hex.EncodeToString(h.Sum(nil)), nil
+}
+
+// inFile puts a file's name before each of joined errors.
+func inFile(file string, err error) error {
+	var lines []string
+	for e := range strings.SplitSeq(err.Error(), "\n") {
+		lines = append(lines, file+": "+e)
+	}
+	return errors.New(strings.Join(lines, "\n"))
+}
+
+// scaleProgress shows how far a run is: one line that changes on a terminal, a plain line with each play and each ten seconds elsewhere.
+func (a *app) scaleProgress(f scale.File) (show func(scale.Progress), done func()) {
+	line := func(p scale.Progress) string {
+		left := "time left not known yet"
+		if p.Guessed {
+			left = fmt.Sprintf("some %v left", p.Left.Round(time.Second))
+		}
+		return fmt.Sprintf("%s: play %d of %d, %v %g for %v, %d MB in %d processes, %s", f.Name, p.Done+1, p.All, f.Axis.Per, p.X, p.For.Round(time.Second),
+			p.RSS>>20, p.Procs, left)
+	}
+	if file, ok := a.err.(*os.File); ok && term.IsTerminal(int(file.Fd())) {
+		return func(p scale.Progress) { fmt.Fprintf(a.err, "\r\x1b[K%s", line(p)) }, func() { fmt.Fprint(a.err, "\r\x1b[K") }
+	}
+	before, last := -1, time.Time{}
+	return func(p scale.Progress) {
+		if now := time.Now(); p.Done != before || now.Sub(last) >= 10*time.Second {
+			before, last = p.Done, now
+			fmt.Fprintln(a.err, line(p))
+		}
+	}, func() {}
+}
+
+func printScale(w io.Writer, res *scale.Result) error {
+	verdict := "kept"
+	if !res.Kept {
+		verdict = "NOT KEPT"
+	}
+	if len(res.Expects) == 0 && res.Kept {
+		verdict = "played"
+	}
+	fmt.Fprintf(w, "%s: %s. %d points of %s, %d plays each; %d spoilt by the machine, %d failed\n", res.Name, verdict, len(res.Points), res.Axis, res.Plays, res.Spoilt, res.Failed)
+	t := tabwriter.NewWriter(w, 2, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "figure\tunit\tform\tat 0\tslope\tsquare\tspread\tfrom\tto\tworst")
+	for _, f := range res.Fits {
+		s := f.Slope
+		if s == nil {
+			fmt.Fprintf(t, "%s\t%s\t%s\n", f.ID, f.Unit, strings.Join(f.Why, "; "))
+			continue
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\t%.4g\t%.4g\t%.4g\t%.2g\t%g\t%g\t%.1f%%\n", f.ID, f.Unit, s.Form, s.At0, s.Slope, s.Square, s.Spread, s.From, s.To, 100*s.Worst)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	for _, e := range res.Ends {
+		fmt.Fprintf(w, "  today's program ends at %g: %s\n", e.X, strings.Join(e.Reasons, "; "))
+	}
+	for _, k := range res.Records {
+		if k.Failed != "" {
+			fmt.Fprintf(w, "  failed at %g, play %d: %s\n", k.X, k.Play, k.Failed)
+		}
+		for _, why := range k.Spoilt() {
+			fmt.Fprintf(w, "  spoilt at %g, play %d: %s\n", k.X, k.Play, why)
+		}
+	}
+	for _, k := range res.Expects {
+		if !k.Kept {
+			fmt.Fprintf(w, "  not kept: %s; got %s\n", k.What, k.Got)
+		}
+	}
+	return nil
+}
+
+// listAxes tells what a file may name.
+func (a *app) listAxes() error {
+	if a.asJSON {
+		type axis struct {
+			Name     string                  `json:"name"`
+			About    string                  `json:"about"`
+			Per      string                  `json:"per"`
+			Measures []play.Measure          `json:"measures"`
+			Settings map[string]play.Setting `json:"settings"`
+		}
+		var all []axis
+		for _, x := range axes() {
+			all = append(all, axis{x.Name, x.About, x.Per, x.Measures, x.Settings})
+		}
+		return printJSON(a.out, all)
+	}
+	t := tabwriter.NewWriter(a.out, 2, 0, 2, ' ', 0)
+	for i, x := range axes() {
+		if i > 0 {
+			fmt.Fprintln(t)
+		}
+		fmt.Fprintf(t, "%s, by %s: %s\n", x.Name, x.Per, x.About)
+		for _, m := range x.Measures {
+			exact := ""
+			if m.Exact {
+				exact = ", exact"
+			}
+			fmt.Fprintf(t, "  %s\t%s%s\t%s\n", m.ID, m.Unit, exact, m.What)
+		}
+		for _, name := range slices.Sorted(maps.Keys(x.Settings)) {
+			s := x.Settings[name]
+			fmt.Fprintf(t, "  %s\t%g (%g to %g)\t%s\n", name, s.Default, s.Least, s.Most, s.About)
+		}
+	}
+	return t.Flush()
+}
+
+type labScalePlayCmd struct{}
+
+// Run plays one play, as its run asks for on the standard input.
+func (labScalePlayCmd) Run(a *app) error { return scale.PlayOne(a.ctx, os.Stdin, a.out, axes(), a.log) }
--- a/internal/lab/scale/machine.go
+++ b/internal/lab/scale/machine.go
@@ -195,5 +195,6 @@
 	MostProcesses = 300      // the same
 	leastFree     = 1 << 30  // bytes; with less the machine is short of memory
 	mostOthers    = 0.10     // of the cores; with more, others spoil the play
+	rounding      = 5        // ticks by which the others' may be off, which counts in short plays
 	leastIdle     = 0.03     // of the cores; with less they were full
 )
--- a/internal/lab/scale/report.go
+++ b/internal/lab/scale/report.go
@@ -21,7 +21,7 @@
 func (res *Result) page() string {
 	var b strings.Builder
 	table, _, plots := res.Files()
-	fmt.Fprintf(&b, "# Scale run: %s\n\n%s Grows: %s.\n\n", res.Name, res.About, res.Grows)
+	fmt.Fprintf(&b, "# Scale run: %s\n\n%s\n\nThe axis `%s`: %s.\n\n", res.Name, res.About, res.Axis, strings.TrimSuffix(res.Grows, "."))
 	fmt.Fprintf(&b, "Written by `cottonrack lab scale`; all plays are in `%s`. Build %s, begun %s, %d cores, %d plays a point, seeds from %d on, %v of plays.\n",
 		table, res.Build, res.Began.Format(time.RFC3339), res.Cores, res.Plays, res.Seed, seconds(res.Played))
 	if len(res.Set) > 0 {
