--- a/fleet/catalog/list.go
+++ b/fleet/catalog/list.go
@@ -46,6 +46,7 @@
 	Revision int64      `json:"revision"`
 	Complete bool       `json:"complete"`
 	Members  []Endpoint `json:"members"`
+	Map      int64      `json:"map,omitempty"` // number of the map of partitions; only in lists of some partitions
 }
 
 // Check tells what is wrong with an endpoint that somebody wants listed.
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"starlingusher/fleet/catalog"
+	"starlingusher/fleet/ownership"
 )
 
 // A change counts as told to a node 6 s after the service had it and could be reached, whatever call failed. These add up to
@@ -45,8 +46,9 @@
 
 // The headers by which a directory of ours tells more than the platform does. historyOf also tells it apart.
 const (
-	historyOf = "Registry-History"
-	vouchedOf = "Registry-Vouched"
+	historyOf    = "Registry-History"
+	vouchedOf    = "Registry-Vouched"
+	partitionsOf = "Registry-Partitions" // by how many partitions an answer was filtered
 )
 
 var (
@@ -54,6 +56,9 @@
 	ErrBehind = errors.New("the list is older than what was told before")
 	// ErrRefused says that a server had no room for the ask.
 	ErrRefused = errors.New("refused")
+	// ErrCannotPart says that a server does not tell the list of some partitions alone, but would send all of it: it is a
+	// replica of an older build, or counts other partitions.
+	ErrCannotPart = errors.New("it does not part the list by partitions")
 	// errSilent says that a server said nothing for longer than a living one does.
 	errSilent = errors.New("silent")
 )
@@ -65,7 +70,9 @@
 	From     string // the address that told it
 }
 
-// News is a list that was told, or what changed of one.
+// News is a list that was told, or what changed of one. Its Map is the number of the newest map of partitions that the server
+// has, 0 where there is none or the ask was for the whole list. It may have no members: then it carries on the revision, or a
+// new number of the map.
 type News struct {
 	catalog.List
 	History int64  // as in Position
@@ -160,6 +167,8 @@
 			most = min(apart<<min(p.refusals, 8), nextRefusal)
 		}
 		return most/2 + rand.N(most/2)
+	case errors.Is(err, ErrCannotPart): // nothing but a newer build mends it, and each ask costs a piece of the whole list
+		return nextRefusal/2 + rand.N(nextRefusal/2)
 	case told && errors.Is(err, errSilent):
 		return rand.N(min(apart, afterSilence))
 	case told: // it was cut, and the others' with it
@@ -191,6 +200,10 @@
 	Log       *slog.Logger
 	Track     *Track
 	Heard     func() // called for each line that a server sends, also an empty one; may be nil
+
+	// Partitions are those whose list is followed; nil: the whole list. It is not changed while Watch runs: who wants others
+	// calls it anew. The first list of a call is whole, the later ones are as Track has them.
+	Partitions *ownership.Set
 }
 
 // Watch follows the list until the context ends, and hands on what it is told. What is not taken ends its watch, and
@@ -201,12 +214,20 @@
 	if len(w.Addresses) > 1 {
 		n = rand.IntN(len(w.Addresses))
 	}
-	failed := 0 // addresses in a row
+	failed := 0                  // addresses in a row
+	whole := w.Partitions != nil // what the caller has may be of other partitions
+	cannot := map[string]bool{}  // addresses that were found not to part the list
 	for ctx.Err() == nil {
 		first := true
 		addr := w.Addresses[n%len(w.Addresses)]
 		history, after := w.Track.After(addr)
+		if whole {
+			after = 0
+		}
 		err := w.once(ctx, addr, history, after, func(l News) error {
+			if whole && !l.Complete {
+				return errors.New("watch: changes, where the whole list was asked for")
+			}
 			if err := w.Track.Take(l, time.Now()); err != nil {
 				return err
 			}
@@ -214,16 +235,24 @@
 				w.Log.Info("watching", "discovery", addr, "after", after, "revision", l.Revision, "complete", l.Complete, "members", len(l.Members))
 			}
 			if err := tell(l); err != nil {
+				whole = w.Partitions != nil // it lacks these changes
 				return err
 			}
 			pause.news()
-			first, failed = false, 0
+			first, failed, whole = false, 0, false
 			return nil
 		})
 		if ctx.Err() != nil {
 			return
 		}
 		w.Log.Debug("watch ended", "discovery", addr, "err", err)
+		if is := errors.Is(err, ErrCannotPart); is != cannot[addr] && (is || !first) {
+			if cannot[addr] = is; is {
+				w.Log.Warn("not taken: the server would send the whole list", "discovery", addr, "err", err)
+			} else {
+				w.Log.Info("the server parts the list now", "discovery", addr)
+			}
+		}
 		wait := pause.after(err, !first)
 		if failed++; failed < len(w.Addresses) { // the next one may do at once
 			wait = rand.N(firstBackoff)
@@ -275,6 +304,9 @@
 	if history > 0 {
 		url += fmt.Sprintf("&history=%d", history)
 	}
+	if w.Partitions != nil {
+		url += "&partitions=" + w.Partitions.String()
+	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
@@ -290,6 +322,9 @@
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("watch: %s", resp.Status)
 	}
+	if by := resp.Header.Get(partitionsOf); w.Partitions != nil && by != strconv.Itoa(ownership.Partitions) {
+		return fmt.Errorf("watch: %w: %s is %.40q", ErrCannotPart, partitionsOf, by)
+	}
 	news := News{From: addr, Vouched: resp.Header.Get(vouchedOf) != "no"}
 	if h := resp.Header.Get(historyOf); h != "" {
 		if news.History, err = strconv.ParseInt(h, 10, 64); err != nil || news.History <= 0 {
