Directory: lists and watches of some partitions, the map's record at the door, the list's bound as a setting

A node that owns some partitions must not be sent all destinations. Each change is split and encoded once for all watches of partitions. Unfiltered asks take the ways they took. The record of the map is checked at the leader's door and never in Apply. A write carries the bound of the list (none: 50,000, as in older builds), so that replicas judge alike; the hard bound is 2,000,000.

--- a/fleet/catalog/list.go
+++ b/fleet/catalog/list.go
@@ -20,13 +20,17 @@
 
 // Bounds of what comes from outside.
 const (
-	MaxName    = 200         // bytes of an ID, a name or a holder
-	MaxMembers = 50_000      // endpoints of the list
-	MaxRecords = 10_000      // records
-	MaxValue   = 64 << 10    // bytes of a record's value
-	MaxTTL     = 86_400e3    // ms of a lease
-	MinTTL     = 100         // ms of a lease: renewals must fit between
-	maxText    = 4 * 1 << 10 // bytes of a reason
+	MaxName = 200 // bytes of an ID, a name or a holder
+	// MaxMembers is how many endpoints an image, or a write, can name as its bound: far above what anyone needs, and only there
+	// so that nothing grows without end. It may be raised only when all replicas have the build that has it so: an older one
+	// would refuse what the newer take, and their states would part.
+	MaxMembers   = 2_000_000
+	UsualMembers = 50_000      // endpoints of the list, where nothing else is set
+	MaxRecords   = 10_000      // records
+	MaxValue     = 64 << 10    // bytes of a record's value
+	MaxTTL       = 86_400e3    // ms of a lease
+	MinTTL       = 100         // ms of a lease: renewals must fit between
+	maxText      = 4 * 1 << 10 // bytes of a reason
 )
 
 // Endpoint is one of the list, in the platform's form.
--- a/fleet/catalog/state.go
+++ b/fleet/catalog/state.go
@@ -42,6 +42,9 @@
 	Guard     float64    `cbor:",omitempty"` // share of the serving endpoints that may go at once unconfirmed
 	Confirmed bool       `cbor:",omitempty"` // the guard has nothing to say
 	Why       string     `cbor:",omitempty"`
+	// Most is how many endpoints the list may hold with it, MaxMembers at most. It stands in the write, as Guard does, so that
+	// all replicas judge alike whatever their settings are. 0: UsualMembers, as builds have it that know no Most.
+	Most int64 `cbor:",omitempty"`
 }
 
 // Hold acquires a record, renews what it holds, or lets go of it.
@@ -123,6 +126,9 @@
 	By       string     `json:"by" cbor:",omitempty"`
 	Why      string     `json:"why" cbor:",omitempty"`
 	Members  []Endpoint `json:"members"`
+	// Moved are those of the members that had another partner before: it is told that they are gone. Nil, and not just empty: not
+	// known, for an older build's snapshot does not tell.
+	Moved []Move `json:"-" cbor:"Moved"`
 }
 
 // Held is a write that waits.
@@ -163,11 +169,12 @@
 type State struct {
 	i        Image
 	mentions int // in the kept changes
+	parts    partIndex
 }
 
 // New is the state before the first command.
 func New() *State {
-	return &State{i: Image{Entries: map[string]Entry{}, Records: map[string]Record{}, Replicas: map[string]Replica{}}}
+	return &State{i: Image{Entries: map[string]Entry{}, Records: map[string]Record{}, Replicas: map[string]Replica{}}, parts: partIndex{}}
 }
 
 // Load makes a state of an image, which it takes over. One that can't be of this package's making is an error.
@@ -202,6 +209,7 @@
 			return nil, fmt.Errorf("%w: record %.40q", ErrBad, name)
 		}
 	}
+	s.parts = newPartIndex(s.i.Entries)
 	return s, nil
 }
 
@@ -434,7 +442,30 @@
 	if w.Whole { // a later whole list goes before one that waits
 		s.i.Held = nil
 	}
-	return 0, s.commit(changed, w.TTL, c, w.Why)
+	return 0, s.commit(changed, w, c)
+}
+
+// Fits tells whether the list has room for a write, by the write's own bound. What does not fit is ErrFull, here as in Apply.
+func (s *State) Fits(w Write) error {
+	fresh := 0
+	for _, m := range w.Members {
+		if _, listed := s.i.Entries[m.ID]; !listed && m.Phase != Deleted {
+			fresh++
+		}
+	}
+	return s.room(fresh, w.Most)
+}
+
+// room tells whether so many more endpoints fit. A whole list's are counted beside those that go, as ever: what one build
+// refuses the others must.
+func (s *State) room(fresh int, most int64) error {
+	if most <= 0 {
+		most = UsualMembers
+	}
+	if most = min(most, MaxMembers); fresh > 0 && int64(len(s.i.Entries)+fresh) > most {
+		return fmt.Errorf("%w: the list holds %d endpoints at most", ErrFull, most)
+	}
+	return nil
 }
 
 func sameMembers(a, b Write) bool {
@@ -515,7 +546,7 @@
 }
 
 // commit makes a revision of a change; what changes nothing makes none.
-func (s *State) commit(changed []Endpoint, ttl int64, c Command, why string) error {
+func (s *State) commit(changed []Endpoint, w Write, c Command) error {
 	if len(changed) == 0 {
 		return nil
 	}
@@ -525,15 +556,15 @@
 			fresh++
 		}
 	}
-	if len(s.i.Entries)+fresh > MaxMembers {
-		return fmt.Errorf("%w: the list holds %d endpoints at most", ErrFull, MaxMembers)
+	if err := s.room(fresh, w.Most); err != nil {
+		return err
 	}
-	s.turn(changed, c, why, func(e *Entry) {
+	s.turn(changed, c, w.Why, func(e *Entry) {
 		e.Lapsed = false
-		if ttl == 0 { // who writes by hand does not end a lease
+		if w.TTL == 0 { // who writes by hand does not end a lease
 			e.ByHand = e.Phase == Draining
 		} else {
-			e.TTL = ttl
+			e.TTL = w.TTL
 		}
 	})
 	return nil
@@ -543,17 +574,29 @@
 // changes, of which it lets go of the oldest beyond the bounds.
 func (s *State) turn(changed []Endpoint, c Command, why string, also func(*Entry)) {
 	s.i.Revision++
+	moved := []Move{}
 	for _, m := range changed {
+		e, listed := s.i.Entries[m.ID]
+		if listed && (m.Phase == Deleted || m.Cell != e.Cell) {
+			s.parts.remove(m.ID, e.Cell)
+		}
 		if m.Phase == Deleted {
 			delete(s.i.Entries, m.ID)
 			continue
 		}
-		e := s.i.Entries[m.ID]
+		if listed && m.Cell != e.Cell {
+			was := e.Endpoint
+			was.Phase = Deleted
+			moved = append(moved, Move{was, m.Cell})
+		}
+		if !listed || m.Cell != e.Cell {
+			s.parts.add(m.ID, m.Cell)
+		}
 		e.Endpoint, e.Revision = m, s.i.Revision
 		also(&e)
 		s.i.Entries[m.ID] = e
 	}
-	s.i.Changes = append(s.i.Changes, Change{Revision: s.i.Revision, At: c.At, By: c.By, Why: why, Members: changed})
+	s.i.Changes = append(s.i.Changes, Change{Revision: s.i.Revision, At: c.At, By: c.By, Why: why, Members: changed, Moved: moved})
 	s.mentions += len(changed)
 	if s.i.Held != nil {
 		s.i.Held.outlast(changed)
@@ -579,7 +622,7 @@
 	if a.Drop {
 		return nil
 	}
-	return s.commit(s.changed(h.Write), h.Write.TTL, c, h.Write.Why)
+	return s.commit(s.changed(h.Write), h.Write, c)
 }
 
 // lapses is what becomes of endpoints whose leases ran out: they drain, and go once they have drained. Of a partner no
--- a/internal/directory/admin.go
+++ b/internal/directory/admin.go
@@ -30,6 +30,8 @@
 	Held      *catalog.Held `json:"held,omitempty"`
 	SilentMS  int64         `json:"silent_since_ms,omitempty"` // Unix time since when the source of the list says nothing
 	Follows   string        `json:"follows,omitempty"`
+	Map       int64         `json:"map,omitempty"`       // number of the map of partitions in force; 0: none
+	MapWrong  string        `json:"map_wrong,omitempty"` // why the record's present value is not in force
 	Applied   uint64        `json:"applied"`
 	Members   []MemberState `json:"members"`
 }
@@ -58,6 +60,8 @@
 		st.Fresh = fresh && r.current() == nil
 	}
 	st.Leader, _ = r.leader()
+	m := r.ledger.theMap()
+	st.Map, st.MapWrong = m.number, m.wrong
 	r.ledger.read(func(c *catalog.State) {
 		st.History, st.Revision, st.Endpoints, st.SilentMS = c.History(), c.Revision(), c.Size(), c.Silent()
 		if h := c.Held(); h != nil {
@@ -124,7 +128,12 @@
 		wrong(w, http.StatusBadRequest, err)
 		return
 	}
-	s.command(w, req, raw, func() (catalog.Command, error) { return catalog.Command{Restore: &image}, nil })
+	s.command(w, req, raw, func() (catalog.Command, error) {
+		if n, most := len(image.Entries), s.r.cfg.List.Most; n > most {
+			return catalog.Command{}, fmt.Errorf("%w: the backup has %d endpoints, the list holds %d at most", catalog.ErrFull, n, most)
+		}
+		return catalog.Command{Restore: &image}, nil
+	})
 }
 
 func (s *Server) confirm(w http.ResponseWriter, req *http.Request) {
--- a/internal/directory/code.go
+++ b/internal/directory/code.go
@@ -17,7 +17,7 @@
 	commandMark = "cmd1"
 	backupMark  = "bak1"
 	sealLen     = 4 + 8
-	maxBackup   = 256 << 20 // bytes
+	maxBackup   = 1 << 30 // bytes; catalog.MaxMembers endpoints of some 170 bytes are a third of it
 	maxCommand  = 64 << 20
 )
 
@@ -25,7 +25,7 @@
 
 var decoding = func() cbor.DecMode {
 	m, err := cbor.DecOptions{
-		MaxNestedLevels: 16, MaxArrayElements: 1 << 20, MaxMapPairs: 1 << 20, DupMapKey: cbor.DupMapKeyEnforcedAPF,
+		MaxNestedLevels: 16, MaxArrayElements: 2 * catalog.MaxMembers, MaxMapPairs: 2 * catalog.MaxMembers, DupMapKey: cbor.DupMapKeyEnforcedAPF,
 	}.DecMode()
 	if err != nil {
 		panic(err) // the options stand above
--- a/internal/directory/config.go
+++ b/internal/directory/config.go
@@ -28,6 +28,9 @@
 		Lag  int `toml:"lag_kb"` // of changes that a watcher has not read, before it is cut
 		Most int `toml:"most"`   // watches at once
 	} `toml:"watch"`
+	List struct {
+		Most int `toml:"most"` // endpoints
+	} `toml:"list"`
 	Asks struct {
 		Rate  float64 `toml:"rate"`  // whole lists and new watches a second
 		Burst int     `toml:"burst"` // at once
@@ -82,6 +85,7 @@
 	var c Config
 	c.ID, c.HTTP, c.Data = "directory", "127.0.0.1:8600", "directory-data"
 	c.Watch.Lag, c.Watch.Most = 1024, 20_000
+	c.List.Most = catalog.UsualMembers
 	c.Asks.Rate, c.Asks.Burst = 2000, 1000
 	c.Guard.Share, c.Guard.Stand.Duration = 0.5, 10*time.Minute
 	c.Lease.Share, c.Lease.Drain.Duration = 0.25, 30*time.Second
@@ -134,6 +138,7 @@
 	}
 	wrong(len(c.Peers)%2 == 1, "there are %d replicas; an even number survives no more losses than one fewer", len(c.Peers)+1)
 	wrong(c.Watch.Lag < 1 || c.Watch.Most < 1, "watch.lag_kb and watch.most are 1 or more")
+	wrong(c.List.Most < 1 || c.List.Most > catalog.MaxMembers, "list.most is 1 to %d", catalog.MaxMembers)
 	wrong(!(c.Asks.Rate > 0) || c.Asks.Burst < 1, "asks.rate and asks.burst are more than 0")
 	wrong(!(c.Guard.Share > 0 && c.Guard.Share <= 1), "guard.share is more than 0 and at most 1")
 	wrong(!(c.Lease.Share >= 0 && c.Lease.Share <= 1), "lease.share is 0 to 1")
--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -50,7 +50,7 @@
 		}
 	})
 	w.Watch(ctx, func(n registry.News) error {
-		wr := catalog.Write{Base: catalog.Base{Any: true}, Whole: n.Complete, Members: n.Members, Guard: r.cfg.Guard.Share, Why: "told by " + n.From}
+		wr := catalog.Write{Base: catalog.Base{Any: true}, Whole: n.Complete, Members: n.Members, Guard: r.cfg.Guard.Share, Most: int64(r.cfg.List.Most), Why: "told by " + n.From}
 		res, err := r.propose(catalog.Command{By: "follow", Write: &wr})
 		if errors.Is(res.Err, catalog.ErrHeld) {
 			r.log.Warn("held back until confirmed", "held", res.Held, "err", res.Err)
--- a/internal/directory/ledger.go
+++ b/internal/directory/ledger.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/raft"
 
 	"starlingusher/fleet/catalog"
+	"starlingusher/fleet/ownership"
 )
 
 // maxLines is how many encoded changes are kept for watches that are behind, beside the bound in bytes.
@@ -19,6 +20,7 @@
 	revision int64
 	body     []byte
 	end      int64 // bytes of all lines up to this one
+	part     *partLine
 }
 
 // ledger is the replicated state in this process, and its encodings, each made once. Raft alone writes to it; everyone
@@ -34,6 +36,7 @@
 	total   int64         // bytes of all lines ever
 	whole   []byte        // the whole list's encoding; nil: not made since the last change
 	resumes map[int64][]byte
+	mapped  mapState
 }
 
 func newLedger(lag int64, fail func(error)) *ledger {
@@ -52,6 +55,9 @@
 	defer l.mu.Unlock()
 	history, before := l.state.History(), l.state.Revision()
 	r := l.state.Apply(c)
+	if setsMap(c.Acquire) || setsMap(c.Update) || l.state.History() != history {
+		l.readMap()
+	}
 	switch {
 	case l.state.History() != history:
 		l.begin()
@@ -62,6 +68,9 @@
 	return r
 }
 
+// setsMap tells whether a command may have written the record of the map of partitions.
+func setsMap(h *catalog.Hold) bool { return h != nil && h.Name == ownership.Record }
+
 // publish encodes what changed for all watches; the lock is held.
 func (l *ledger) publish(before int64) {
 	l.whole = nil
@@ -75,7 +84,7 @@
 		}
 		body = append(body, '\n')
 		l.total += int64(len(body))
-		l.lines = append(l.lines, line{c.Revision, body, l.total})
+		l.lines = append(l.lines, line{c.Revision, body, l.total, &partLine{change: c, number: l.mapped.number}})
 	}
 	drop := 0
 	for drop < len(l.lines)-1 && (len(l.lines)-drop > maxLines || l.total-l.lines[drop].end > l.lag) {
@@ -117,6 +126,7 @@
 	defer l.mu.Unlock()
 	history, before := l.state.History(), l.state.Revision()
 	l.state = state
+	l.readMap()
 	if _, all := state.Changes(before); history == state.History() && all && before <= state.Revision() && before > 0 {
 		l.publish(before) // watches go on
 	} else {
@@ -201,16 +211,16 @@
 	return nil, false
 }
 
-// since are the lines after a position, and what is closed when there are more. It is false for a position of another
+// since are the lines after a position, the number of the map of partitions, and what is closed when there are more. It is false for a position of another
 // history, or one so far back that its lines are not kept: such a watch is cut.
-func (l *ledger) since(p position) ([]line, <-chan struct{}, bool) {
+func (l *ledger) since(p position) ([]line, int64, <-chan struct{}, bool) {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
 	switch behind := l.state.Revision() - p.revision; {
 	case l.state.History() != p.history || behind < 0 || behind > int64(len(l.lines)):
-		return nil, nil, false
+		return nil, 0, nil, false
 	default:
-		return l.lines[int64(len(l.lines))-behind:], l.news, true
+		return l.lines[int64(len(l.lines))-behind:], l.mapped.number, l.news, true
 	}
 }
 
--- a/internal/directory/metrics.go
+++ b/internal/directory/metrics.go
@@ -60,6 +60,13 @@
 			}
 			return 1
 		})),
+		gauge("directory_map_number", "Number of the map of partitions in force here; 0: none.", func() float64 { return float64(s.r.ledger.theMap().number) }),
+		gauge("directory_map_wrong", "1 if the record of the map holds what can't be in force.", func() float64 {
+			if s.r.ledger.theMap().wrong != "" {
+				return 1
+			}
+			return 0
+		}),
 		gauge("directory_leads", "1 at the leader.", func() float64 {
 			if s.r.settled() {
 				return 1
--- a/internal/directory/reads.go
+++ b/internal/directory/reads.go
@@ -6,10 +6,12 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"net/url"
 	"strconv"
 	"time"
 
 	"starlingusher/fleet/catalog"
+	"starlingusher/fleet/ownership"
 )
 
 // list serves the whole list and watches.
@@ -19,7 +21,8 @@
 	q := req.URL.Query()
 	after, err := number(q.Get("after"), -1)
 	history, err2 := number(q.Get("history"), 0)
-	if err := errors.Join(err, err2); err != nil {
+	parts, err3 := partitions(q)
+	if err := errors.Join(err, err2, err3); err != nil {
 		s.metrics.asked("bad")
 		wrong(w, http.StatusBadRequest, err)
 		return
@@ -45,7 +48,19 @@
 	}
 	s.metrics.asked("taken")
 	if q.Get("watch") == "1" {
-		s.watch(w, req, after)
+		s.watch(w, req, after, parts)
+		return
+	}
+	if parts != nil {
+		raw, at, number, err := s.r.ledger.part(after, parts)
+		if err != nil {
+			wrong(w, http.StatusInternalServerError, err)
+			return
+		}
+		s.mark(w, at)
+		markPart(w, number)
+		w.Header().Set("Content-Length", strconv.Itoa(len(raw)))
+		w.Write(raw)
 		return
 	}
 	raw, at, _, err := s.r.ledger.list(after)
@@ -58,6 +73,33 @@
 	w.Write(raw)
 }
 
+// partitions reads which partitions an ask is for; nil: for the whole list.
+func partitions(q url.Values) (*ownership.Set, error) {
+	texts, asked := q["partitions"]
+	if !asked {
+		return nil, nil
+	}
+	if len(texts) > 1 {
+		return nil, errors.New("partitions stands there twice")
+	}
+	set, err := ownership.ParseSet(texts[0])
+	if err != nil {
+		return nil, fmt.Errorf("partitions: %w", err)
+	}
+	if set.Len() == 0 {
+		return nil, errors.New("partitions: none is named")
+	}
+	return &set, nil
+}
+
+// markPart tells that an answer is of some partitions alone. It has no ETag: no write of a whole list may rest on a part.
+func markPart(w http.ResponseWriter, number int64) {
+	h := w.Header()
+	h.Set(HeaderPartitions, strconv.Itoa(ownership.Partitions))
+	h.Set(HeaderMap, strconv.FormatInt(number, 10))
+	h.Del("ETag")
+}
+
 // elsewhere answers an ask for what is fresh, if this replica does not lead: the leader does, or nobody can tell. At the
 // leader it returns once all that was agreed on before is in the state.
 func (s *Server) elsewhere(w http.ResponseWriter, req *http.Request) bool {
--- a/internal/directory/records.go
+++ b/internal/directory/records.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"starlingusher/fleet/catalog"
+	"starlingusher/fleet/ownership"
 )
 
 func (s *Server) records(w http.ResponseWriter, req *http.Request) {
@@ -48,14 +49,31 @@
 	if !ok {
 		return
 	}
+	isMap := req.PathValue("name") == ownership.Record
+	if isMap {
+		if s.passOn(w, req, raw) {
+			return
+		}
+		s.mapping.Lock()
+		defer s.mapping.Unlock()
+	}
 	s.command(w, req, raw, func() (catalog.Command, error) {
 		var ask holdAsk
 		if err := strict(raw, &ask); err != nil {
 			return catalog.Command{}, err
 		}
-		return make(catalog.Hold{
+		c := make(catalog.Hold{
 			Name: req.PathValue("name"), Holder: ask.Holder, Token: ask.Token, TTL: ask.TTL, Value: ask.Value, SetsVal: ask.Value != nil,
-		}), nil
+		})
+		if isMap && (c.Update != nil || c.Acquire != nil && c.Acquire.SetsVal) {
+			if err := s.r.current(); err != nil {
+				return catalog.Command{}, err
+			}
+			if err := s.r.ledger.checkMap(ask.Value); err != nil {
+				return catalog.Command{}, err
+			}
+		}
+		return c, nil
 	})
 }
 
--- a/internal/directory/server.go
+++ b/internal/directory/server.go
@@ -20,11 +20,13 @@
 
 // The headers of an answer beside the platform's own form.
 const (
-	HeaderHistory  = "Registry-History"  // number of the history that the revisions belong to
-	HeaderRevision = "Registry-Revision" // the list's
-	HeaderAge      = "Registry-Age-Ms"   // for how long the replica has heard nothing of a leader
-	HeaderVouched  = "Registry-Vouched"  // "no": the list's source has gone silent
-	headerPassedOn = "Registry-Passed-On"
+	HeaderHistory    = "Registry-History"    // number of the history that the revisions belong to
+	HeaderRevision   = "Registry-Revision"   // the list's
+	HeaderAge        = "Registry-Age-Ms"     // for how long the replica has heard nothing of a leader
+	HeaderVouched    = "Registry-Vouched"    // "no": the list's source has gone silent
+	HeaderPartitions = "Registry-Partitions" // of an answer to an ask for some of them: by how many it was filtered
+	HeaderMap        = "Registry-Map"        // of the same: the number of the map of partitions, 0 for none
+	headerPassedOn   = "Registry-Passed-On"
 )
 
 const (
@@ -47,6 +49,7 @@
 	metrics *metrics
 	http    http.Server
 	watches watches
+	mapping sync.Mutex // held from the check of a new map of partitions until what came of it
 	parts   sync.WaitGroup
 	end     context.CancelFunc
 }
@@ -219,7 +222,7 @@
 		answer(w, http.StatusGatewayTimeout, problem{Error: "the leader, " + id + ", was cut off while it answered", Outcome: "unknown"})
 		return true
 	}
-	for _, h := range []string{"Content-Type", "Retry-After", "ETag", HeaderHistory, HeaderRevision, HeaderAge, HeaderVouched} {
+	for _, h := range []string{"Content-Type", "Retry-After", "ETag", HeaderHistory, HeaderRevision, HeaderAge, HeaderVouched, HeaderPartitions, HeaderMap} {
 		if v := resp.Header.Get(h); v != "" {
 			w.Header().Set(h, v)
 		}
@@ -266,6 +269,10 @@
 		later(w, time.Second, oneLine(err))
 		return
 	}
+	if errors.Is(err, catalog.ErrFull) {
+		wrong(w, http.StatusInsufficientStorage, err)
+		return
+	}
 	if err != nil {
 		wrong(w, http.StatusBadRequest, err)
 		return
--- a/internal/directory/watch.go
+++ b/internal/directory/watch.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"starlingusher/fleet/ownership"
 	"starlingusher/internal/registry"
 )
 
@@ -77,10 +78,18 @@
 	return l.state.Revision() - int64(len(l.lines))
 }
 
-// watch tells a caller what changes until one of the two ends it.
-func (s *Server) watch(w http.ResponseWriter, req *http.Request, after int64) {
+// watch tells a caller what changes, in some partitions or, if there are none, of the whole list, until one of the two ends it.
+func (s *Server) watch(w http.ResponseWriter, req *http.Request, after int64, parts *ownership.Set) {
 	one := &watcher{conn: http.NewResponseController(w)}
-	body, at, _, err := s.r.ledger.list(after)
+	var body []byte
+	var at position
+	var number int64 // of the map, as the watcher was told it
+	var err error
+	if parts != nil {
+		body, at, number, err = s.r.ledger.part(after, parts)
+	} else {
+		body, at, _, err = s.r.ledger.list(after)
+	}
 	if err != nil {
 		wrong(w, http.StatusInternalServerError, err)
 		return
@@ -93,6 +102,9 @@
 	}
 	defer s.watches.remove(one)
 	s.mark(w, at)
+	if parts != nil {
+		markPart(w, number)
+	}
 	write := func(lines ...[]byte) bool {
 		if one.cut.Load() || one.conn.SetWriteDeadline(time.Now().Add(writeLimit)) != nil || one.cut.Load() {
 			return false
@@ -109,27 +121,49 @@
 	}
 	beat := time.NewTimer(heartbeat)
 	defer beat.Stop()
+	told := at.revision
 	for {
-		lines, news, ok := s.r.ledger.since(at)
+		lines, has, news, ok := s.r.ledger.since(at)
 		if !ok { // another history, or too far behind
 			s.metrics.cut("position")
 			return
 		}
 		if len(lines) > 0 {
 			for _, l := range lines {
-				if !write(l.body) {
-					return
+				body := l.body
+				if parts != nil {
+					if body, err = l.part.of(parts); err != nil {
+						s.metrics.cut("position") // the next ask gets the whole list of them
+						return
+					}
+				}
+				if body != nil {
+					if !write(body) {
+						return
+					}
+					told, number = l.revision, max(number, l.part.number)
+					beat.Reset(heartbeat)
 				}
 				one.at.Store(l.revision)
 			}
 			at.revision = lines[len(lines)-1].revision
-			beat.Reset(heartbeat)
 			continue
 		}
+		if parts != nil && has > number {
+			if !write(carryOn(at.revision, has)) {
+				return
+			}
+			told, number = at.revision, has
+			beat.Reset(heartbeat)
+		}
 		select {
 		case <-news:
 		case <-beat.C:
-			if !write([]byte("\n")) {
+			sign := []byte("\n")
+			if told < at.revision { // by changes that touched none of its partitions
+				sign, told = carryOn(at.revision, number), at.revision
+			}
+			if !write(sign) {
 				return
 			}
 			beat.Reset(heartbeat)
--- a/internal/directory/writes.go
+++ b/internal/directory/writes.go
@@ -49,10 +49,13 @@
 			wrong(w, http.StatusBadRequest, err)
 			return
 		}
-		wr.Base, wr.Guard = base, s.r.cfg.Guard.Share
+		wr.Base, wr.Guard, wr.Most = base, s.r.cfg.Guard.Share, int64(s.r.cfg.List.Most)
 		wr.Confirmed = req.URL.Query().Get("confirm") == "1"
 		wr.Why = strings.ToValidUTF8(first(req.Header.Get("Registry-Why"), 1000), "?")
-		s.command(w, req, raw, func() (catalog.Command, error) { return catalog.Command{Write: &wr}, nil })
+		s.command(w, req, raw, func() (c catalog.Command, err error) {
+			s.r.ledger.read(func(st *catalog.State) { err = st.Fits(wr) })
+			return catalog.Command{Write: &wr}, err
+		})
 		if wr.TTL > 0 && len(wr.Members) > 0 {
 			s.r.registered(wr.Members[0].ID)
 		}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -202,7 +202,8 @@
 	Heard     func() // called for each line that a server sends, also an empty one; may be nil
 
 	// Partitions are those whose list is followed; nil: the whole list. It is not changed while Watch runs: who wants others
-	// calls it anew. The first list of a call is whole, the later ones are as Track has them.
+	// calls it anew. The first list of a call is whole, the later ones are as Track has them. A server refuses an empty set;
+	// who owns none follows any one partition, for the map's number.
 	Partitions *ownership.Set
 }
 
