--- a/fleet/catalog/catalog_test.go
+++ b/fleet/catalog/catalog_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"pgregory.net/rapid"
 )
 
@@ -122,6 +123,32 @@
 	}
 }
 
+// A write that is held back is held back whole over a snapshot: else its confirmation would change the list on the replicas that have
+// not restarted since, and on the others not.
+func TestSnapshotKeepsWhatIsHeldBack(t *testing.T) {
+	s := founded(t, 4)
+	w := Write{Base: Base{Any: true}, Whole: true, Guard: 0.5, Members: []Endpoint{endpoint("e0", 0)}}
+	held := refused(t, s, Command{Write: &w}, ErrHeld).Held
+	raw, err := cbor.Marshal(s.Image())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var i Image
+	if err := cbor.Unmarshal(raw, &i); err != nil {
+		t.Fatal(err)
+	}
+	restarted, err := Load(i)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, of := range []*State{s, restarted} {
+		apply(t, of, Command{Confirm: &Confirm{Number: held}})
+	}
+	if !reflect.DeepEqual(s.Whole(), restarted.Whole()) || s.Size() != 1 {
+		t.Errorf("after the confirmation the list is %+v, and %+v at a replica that has restarted", s.Whole(), restarted.Whole())
+	}
+}
+
 func TestLeasesLapseByShare(t *testing.T) {
 	s := founded(t, 0)
 	for i := range 6 {
--- a/fleet/catalog/state.go
+++ b/fleet/catalog/state.go
@@ -138,7 +138,7 @@
 	By     string `json:"by"`
 	Gone   int    `json:"gone"` // serving endpoints that it would take away
 	Of     int    `json:"of"`
-	Write  Write  `json:"-"`
+	Write  Write  `json:"-" cbor:"Write"` // without its own tag CBOR would go by JSON's and leave it out
 }
 
 // Record is a small value that one holder at a time may change.
