--- /dev/null
+++ b/fleet/catalog/part_test.go
@@ -0,0 +1,346 @@
+package catalog
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"reflect"
+	"slices"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"pgregory.net/rapid"
+
+	"starlingusher/fleet/ownership"
+)
+
+func setOf(cells ...int) (s ownership.Set) {
+	for _, c := range cells {
+		s.Add(ownership.PartitionOf(c))
+	}
+	return s
+}
+
+// partFollower has what it was told of some partitions.
+type partFollower struct {
+	set  ownership.Set
+	at   int64
+	have map[string]Endpoint
+}
+
+func (f *partFollower) take(l List) {
+	if l.Complete {
+		clear(f.have)
+	}
+	for _, m := range l.Members {
+		if f.have[m.ID] = m; m.Phase == Deleted {
+			delete(f.have, m.ID)
+		}
+	}
+	f.at = l.Revision
+}
+
+// line is a change as a watch of partitions is told it; nil if it is not. It is the order of the pieces that must not matter.
+func (f *partFollower) line(c Change) *List {
+	parts, known := c.Parts()
+	if !known {
+		return nil
+	}
+	l := List{Revision: c.Revision}
+	for _, p := range parts {
+		if f.set.Has(p.Partition) && (p.Unless < 0 || !f.set.Has(p.Unless)) {
+			l.Members = append(l.Members, p.Members...)
+		}
+	}
+	if len(l.Members) == 0 {
+		return nil
+	}
+	return &l
+}
+
+// check holds what a follower has against a scan of the whole list.
+func (f *partFollower) check(s *State) error {
+	want := map[string]Endpoint{}
+	for _, m := range s.Whole().Members {
+		if f.set.Has(ownership.PartitionOf(m.Cell)) {
+			want[m.ID] = m
+		}
+	}
+	if !maps.Equal(want, f.have) {
+		return fmt.Errorf("at revision %d the partitions %v hold %v, the follower %v", s.Revision(), f.set, want, f.have)
+	}
+	return nil
+}
+
+// drawWrite is some write over few endpoints of few partners, which change their partners often.
+func drawWrite(t *rapid.T, s *State) Write {
+	w := Write{Base: Base{Any: true}, Whole: rapid.IntRange(0, 7).Draw(t, "whole") == 0}
+	for _, i := range rapid.SliceOfNDistinct(rapid.IntRange(0, 7), 0, 4, rapid.ID[int]).Draw(t, "ids") {
+		e := endpoint(fmt.Sprint("e", i), rapid.IntRange(0, 5).Draw(t, "cell"))
+		e.Phase = rapid.SampledFrom([]string{Serving, Draining, Deleted}).Draw(t, "phase")
+		w.Members = append(w.Members, e)
+	}
+	w.Guard = rapid.SampledFrom([]float64{0, 0.5}).Draw(t, "guard")
+	w.TTL = rapid.SampledFrom([]int64{0, 1000}).Draw(t, "ttl")
+	return w
+}
+
+// reload takes a state through the bytes of a snapshot; without notes as an older build writes it.
+func reload(t fatal, s *State, notes bool) *State {
+	raw, err := cbor.Marshal(s.Image())
+	if err != nil {
+		t.Fatalf("%v", err)
+	}
+	var i Image
+	if err := cbor.Unmarshal(raw, &i); err != nil {
+		t.Fatalf("%v", err)
+	}
+	if !notes {
+		for n := range i.Changes {
+			i.Changes[n].Moved = nil
+		}
+	}
+	next, err := Load(i)
+	if err != nil {
+		t.Fatalf("%v", err)
+	}
+	return next
+}
+
+// Whoever follows some partitions, change by change or resumed at any position, before and after a snapshot, has exactly what a
+// scan of the whole list finds in them.
+func TestEveryWayLeadsToTheSamePart(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := New()
+		apply(t, s, Command{At: 1, Found: &Found{}})
+		set := setOf(rapid.SliceOfN(rapid.IntRange(0, 5), 1, 4).Draw(t, "set")...)
+		live := &partFollower{set: set, have: map[string]Endpoint{}}
+		slow := &partFollower{set: set, have: map[string]Endpoint{}}
+		type past struct {
+			at   int64
+			have map[string]Endpoint
+		}
+		var pasts []past
+		for range rapid.IntRange(1, 40).Draw(t, "writes") {
+			before := s.Revision()
+			switch rapid.IntRange(0, 9).Draw(t, "command") {
+			case 0:
+				s.Apply(Command{Lapse: &Lapse{Share: 0.5, Drain: []string{"e0", "e1", "e2"}, Gone: []string{"e0", "e3"}}})
+			case 1:
+				if s.Held() != nil {
+					s.Apply(Command{Confirm: &Confirm{Number: s.Held().Number}})
+				}
+			default:
+				w := drawWrite(t, s)
+				s.Apply(Command{Write: &w})
+			}
+			changes, _ := s.Changes(before)
+			for _, c := range changes {
+				if l := live.line(c); l != nil {
+					live.take(*l)
+				}
+			}
+			if rapid.IntRange(0, 4).Draw(t, "snapshot") == 0 {
+				s = reload(t, s, rapid.Bool().Draw(t, "notes"))
+			}
+			if err := live.check(s); err != nil {
+				t.Fatal(err)
+			}
+			if rapid.Bool().Draw(t, "resumes") {
+				slow.take(s.PartSince(slow.at, set))
+				if err := slow.check(s); err != nil {
+					t.Fatalf("resumed: %v", err)
+				}
+			}
+			pasts = append(pasts, past{s.Revision(), maps.Clone(live.have)})
+		}
+		for _, p := range pasts {
+			f := &partFollower{set, p.at, p.have}
+			f.take(s.PartSince(p.at, set))
+			if err := f.check(s); err != nil {
+				t.Fatalf("resumed from revision %d: %v", p.at, err)
+			}
+		}
+		whole := &partFollower{set: set, have: map[string]Endpoint{}}
+		whole.take(s.Part(set))
+		if err := whole.check(s); err != nil {
+			t.Fatal(err)
+		}
+		if want := newPartIndex(s.i.Entries); !reflect.DeepEqual(want, s.parts) {
+			t.Fatalf("the index is %v, anew it is %v", s.parts, want)
+		}
+	})
+}
+
+// One change that is left out of the filtered lines is found, whichever it is.
+func TestAChangeLeftOutIsFound(t *testing.T) {
+	found := 0
+	rapid.Check(t, func(t *rapid.T) {
+		s := New()
+		apply(t, s, Command{At: 1, Found: &Found{}})
+		f := &partFollower{set: setOf(0, 1, 2), have: map[string]Endpoint{}}
+		skip := rapid.IntRange(0, 5).Draw(t, "left out") // of the lines that change something for the follower
+		for range 40 {
+			before := s.Revision()
+			w := drawWrite(t, s)
+			s.Apply(Command{Write: &w})
+			changes, _ := s.Changes(before)
+			for _, c := range changes {
+				l := f.line(c)
+				if l == nil {
+					continue
+				}
+				was := maps.Clone(f.have)
+				if f.take(*l); maps.Equal(was, f.have) {
+					continue
+				}
+				if skip--; skip < 0 {
+					if f.have = was; f.check(s) == nil {
+						t.Fatalf("change %+v was left out and not missed", c)
+					}
+					found++
+					return
+				}
+			}
+		}
+	})
+	if found < 50 {
+		t.Errorf("only %d breaches were tried", found)
+	}
+}
+
+// An endpoint that goes to another partner is gone for those who follow the former one alone, also when they come back later.
+func TestMovedEndpointIsGoneWhereItWas(t *testing.T) {
+	s := founded(t, 1) // e0 of partner 0
+	at := s.Revision()
+	apply(t, s, Command{Write: &Write{Base: Base{Any: true}, Members: []Endpoint{endpoint("e0", 1)}}})
+	gone := with(endpoint("e0", 0), Deleted)
+	for _, c := range []struct {
+		set  ownership.Set
+		want []Endpoint
+	}{
+		{setOf(0), []Endpoint{gone}},
+		{setOf(1), []Endpoint{endpoint("e0", 1)}},
+		{setOf(0, 1), []Endpoint{endpoint("e0", 1)}},
+		{setOf(2), []Endpoint{}},
+	} {
+		if l := s.PartSince(at, c.set); l.Complete || l.Revision != at+1 || !slices.Equal(l.Members, c.want) {
+			t.Errorf("%v is told %+v", c.set, l)
+		}
+		if l := reload(t, s, true).PartSince(at, c.set); l.Complete || !slices.Equal(l.Members, c.want) {
+			t.Errorf("%v is told %+v after a snapshot", c.set, l)
+		}
+		if l := reload(t, s, false).PartSince(at, c.set); !l.Complete {
+			t.Errorf("%v is told %+v after an older build's snapshot, which does not tell who left", c.set, l)
+		}
+	}
+	// What has changed since is known again.
+	old := reload(t, s, false)
+	apply(t, old, Command{Write: &Write{Base: Base{Any: true}, Members: []Endpoint{endpoint("e0", 2)}}})
+	if l := old.PartSince(at+1, setOf(1)); l.Complete || !slices.Equal(l.Members, []Endpoint{with(endpoint("e0", 1), Deleted)}) {
+		t.Errorf("told after a move behind an older build's snapshot: %+v", l)
+	}
+}
+
+// asOlder is an image as an older build, which knows neither notes nor the bound in a write, has it. A slice of nothing is nil.
+func asOlder(i Image) Image {
+	i.Changes = append([]Change(nil), i.Changes...)
+	for n := range i.Changes {
+		i.Changes[n].Moved = nil
+	}
+	if i.Held != nil {
+		i.Held.Write.Most = 0
+		i.Held.Write.Members = append([]Endpoint(nil), i.Held.Write.Members...)
+	}
+	return i
+}
+
+// A replica of an older build, which drops what it does not know of commands and of snapshots, has the same state. (What is held
+// back an older build itself loses with a restart, see TestSnapshotKeepsWhatIsHeldBack; here it does not.)
+func TestOlderBuildBesideHasTheSameState(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := New(), New()
+		both := func(c Command) {
+			older := c
+			if c.Restore != nil { // each reads its own from the log
+				x, y := reload(t, a, true).i, reload(t, a, false).i
+				if rapid.Bool().Draw(t, "older") {
+					x, y = reload(t, b, false).i, reload(t, b, false).i
+				}
+				c.Restore, older.Restore = &x, &y
+			}
+			if c.Write != nil {
+				w := *c.Write
+				w.Most = 0
+				older.Write = &w
+			}
+			ra, rb := a.Apply(c), b.Apply(older)
+			if ra.Revision != rb.Revision || ra.Token != rb.Token || ra.Held != rb.Held || fmt.Sprint(ra.Err) != fmt.Sprint(rb.Err) {
+				t.Fatalf("they answer %+v and %+v", ra, rb)
+			}
+		}
+		both(Command{At: 1, Found: &Found{}})
+		for range rapid.IntRange(1, 30).Draw(t, "commands") {
+			switch rapid.IntRange(0, 6).Draw(t, "command") {
+			case 0:
+				both(Command{Acquire: &Hold{Name: ownership.Record, Holder: "w", Value: []byte("no map"), SetsVal: rapid.Bool().Draw(t, "sets")}})
+			case 1:
+				if h := a.Held(); h != nil {
+					both(Command{Confirm: &Confirm{Number: h.Number}})
+				}
+			case 2:
+				both(Command{At: 5, Restore: &Image{}})
+			case 3: // the newer one is sent the older one's snapshot, or the other way round
+				if rapid.Bool().Draw(t, "up") {
+					a = reload(t, b, false)
+				} else {
+					b = reload(t, a, false)
+				}
+			default:
+				w := drawWrite(t, a)
+				w.Most = UsualMembers
+				both(Command{Write: &w})
+			}
+			if x, y := asOlder(a.Image()), asOlder(b.Image()); !reflect.DeepEqual(x, y) {
+				t.Fatalf("their states differ: %+v %+v, %+v %+v", x, x.Held, y, y.Held)
+			}
+		}
+	})
+}
+
+func TestWriteCarriesTheListsBound(t *testing.T) {
+	s := founded(t, 3)
+	more := func(most int64, ids ...string) Write {
+		w := Write{Base: Base{Any: true}, Most: most}
+		for _, id := range ids {
+			w.Members = append(w.Members, endpoint(id, 0))
+		}
+		return w
+	}
+	over := more(4, "e0", "e1", "e2", "x", "y")
+	refused(t, s, Command{Write: &over}, ErrFull)
+	if err := s.Fits(over); !errors.Is(err, ErrFull) {
+		t.Errorf("it fits: %v", err)
+	}
+	at := more(4, "e0", "e1", "e2", "x")
+	if err := s.Fits(at); err != nil {
+		t.Error(err)
+	}
+	apply(t, s, Command{Write: &at})
+	less := Write{Base: Base{Any: true}, Most: 1, Members: []Endpoint{with(endpoint("x", 0), Draining), with(endpoint("e0", 0), Deleted)}}
+	apply(t, s, Command{Write: &less}) // a list over a bound that was lowered can still shrink
+
+	// Without a bound it is what older builds have, so that an older log leads to the same state.
+	var all []Endpoint
+	for i := range UsualMembers - s.Size() {
+		all = append(all, endpoint(fmt.Sprint("n", i), i))
+	}
+	apply(t, s, Command{Write: &Write{Base: Base{Any: true}, Members: all}})
+	one := Write{Base: Base{Any: true}, Members: []Endpoint{endpoint("last", 0)}}
+	refused(t, s, Command{Write: &one}, ErrFull)
+	one.Most = UsualMembers + 1
+	apply(t, s, Command{Write: &one})
+	if _, err := Load(s.Image()); err != nil {
+		t.Error(err)
+	}
+}
