Node: a share of the destinations by the map of owners, with [ownership]

Cause: no node can know 380,000 destinations in 64 MB and 3 KB a second, nor can a limit of two calls a second be parted among 820 nodes.

With [ownership] in the fleet file a node fetches the numbered map, keeps it as map.cbor, and follows the list of its partitions alone. What is not its own is refused at once, with when to come back, before anything is written. Partitions that it has lost are followed until what was taken on for them has had its time; what is gained is taken on from its list on. The loop owns map and share; maps, lists and what they are of come to it in order. Of the tenants' allowances the module gets its owners' part, or its share of a limit would be that of all nodes.

A share's list is kept apart, and the node is handed to the same owner only: any other process would take the share for the whole list.

--- a/cmd/coralyard/main.go
+++ b/cmd/coralyard/main.go
@@ -98,6 +98,6 @@
 			log.Error("the old configuration stays", "err", err)
 			continue
 		}
-		n.Move(cfg.Sources()...)
+		n.Reload(cfg)
 	}
 }
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -20,6 +20,7 @@
 		Addresses []string `toml:"addresses"` // of a directory's replicas, in place of discovery; none: off
 		KeepKB    int64    `toml:"keep_kb"`   // of the lasting folder for the last list; 0: it is not kept
 	} `toml:"registry"`
+	Ownership *Ownership `toml:"ownership"` // nil: off
 }
 
 // LoadFleet reads the file; an empty path turns nothing on. An unknown name, or a value that can't be, is an error.
@@ -39,6 +40,11 @@
 	if f.Registry.KeepKB < 0 {
 		return f, fmt.Errorf("fleet: %s: registry.keep_kb is 0 or more", path)
 	}
+	if f.Ownership != nil {
+		if err := f.Ownership.check(f.Registry.Addresses); err != nil {
+			return f, fmt.Errorf("fleet: %s: %w", path, err)
+		}
+	}
 	return f, nil
 }
 
@@ -57,14 +63,18 @@
 
 // journalMB is what of the lasting folder is the journal's: while the kept list is replaced there are two of it.
 func (c *Config) journalMB() float64 {
-	if !c.keepsList() {
+	kept := c.shareKB()
+	if c.keepsList() {
+		kept += 2 * c.Fleet.Registry.KeepKB
+	}
+	if kept == 0 {
 		return c.Limits.DiskMB
 	}
 	mb := c.Limits.DiskMB
 	if mb <= 0 {
 		mb = defaultDiskMB
 	}
-	return mb - 2*float64(c.Fleet.Registry.KeepKB)/1024
+	return mb - float64(kept)/1024
 }
 
 // keptList is the last list in the lasting folder, for a start while nobody tells one.
@@ -80,7 +90,12 @@
 	if !cfg.keepsList() {
 		return nil
 	}
-	kept, err := registry.OpenKept(cfg.State, cfg.Fleet.Registry.KeepKB<<10)
+	dir, err := cfg.listDir()
+	if err != nil {
+		log.Warn("the list can't be kept", "err", err)
+		return nil
+	}
+	kept, err := registry.OpenKept(dir, cfg.Fleet.Registry.KeepKB<<10)
 	if err != nil {
 		log.Warn("the kept list is lost", "err", err)
 	}
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -48,6 +48,14 @@
 		"[registry]\naddresses = [\"h\"]":   "missing port",
 		"[registry]\nkeep_kb = -1":          "0 or more",
 		"[registry":                         "fleet",
+
+		"[registry]\naddresses = [\"h:1\"]\n[ownership]\nname = \"n17\"":             "",
+		"[registry]\naddresses = [\"h:1\"]\n[ownership]\nname = \"n17\"\nowner = 3":  "line 5: there is no setting",
+		"[registry]\naddresses = [\"h:1\"]\n[ownership]\nname = \"n17\"\nowners = 6": "1 to 5",
+		"[registry]\naddresses = [\"h:1\"]\n[ownership]\nowners = 3":                 "1 to 200 bytes",
+		"[registry]\naddresses = [\"h:1\"]\n[ownership]\nname = \"n 17\"":            "1 to 200 bytes",
+		"[registry]\naddresses = [\"h:1\"]\n[ownership]":                             "1 to 200 bytes",
+		"[ownership]\nname = \"n17\"":                                                "needs registry.addresses",
 	} {
 		path := filepath.Join(t.TempDir(), "fleet.toml")
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -43,7 +43,8 @@
 
 // message is what the two processes say to each other, one JSON value each. One of its fields is set.
 type message struct {
-	Hello  int `json:",omitempty"` // the new one's version; the listening socket comes before the Legacy
+	Hello  int    `json:",omitempty"` // the new one's version; the listening socket comes before the Legacy
+	Owner  string `json:",omitempty"` // beside Hello: its name in the map of owners
 	Legacy *legacy
 	Ready  bool // the new one has it all
 	Yours  bool // the old one lets go of the lock
@@ -349,7 +350,7 @@
 
 // accept takes the node from the other side.
 func (l *link) accept(ctx context.Context, cfg Config, log *slog.Logger, lock *os.File) (n *Node, ln net.Listener, err error) {
-	if err := l.send(message{Hello: handoverVersion}); err != nil {
+	if err := l.send(message{Hello: handoverVersion, Owner: cfg.owner()}); err != nil {
 		return nil, nil, err
 	}
 	if err := l.conn.SetReadDeadline(time.Now().Add(fenceAfter)); err != nil {
@@ -370,7 +371,7 @@
 	if m.Legacy == nil {
 		return nil, nil, errors.New("handover: no legacy came")
 	}
-	sender, err := choice.Restore(cfg.Settings, m.Legacy.Sender)
+	sender, err := choice.Restore(cfg.moduleSettings(), m.Legacy.Sender)
 	if err != nil {
 		return nil, nil, fmt.Errorf("handover: %w", err)
 	}
@@ -545,7 +546,11 @@
 		}
 		l := newLink(conn)
 		conn.SetReadDeadline(time.Now().Add(handoverTime))
-		if m, err := l.receive(); err != nil || m.Hello != handoverVersion {
+		m, err := l.receive()
+		if err == nil {
+			err = n.own.suits(m.Owner)
+		}
+		if err != nil || m.Hello != handoverVersion {
 			n.log.Warn("not handed over", "version", m.Hello, "err", err)
 			conn.Close()
 			continue
@@ -563,7 +568,7 @@
 	if len(n.acts) > 0 || n.journal.broken {
 		return errJournalDown // the other process could not write it either
 	}
-	if err := n.journal.flush(); err != nil {
+	if err := errors.Join(n.journal.flush(), n.own.keep()); err != nil {
 		return err
 	}
 	saved, err := n.sender.Save()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -94,6 +94,7 @@
 	members map[string]catalog.Endpoint // the list, as discovery last told it
 	told    registry.Position           // how far it was told
 	kept    *keptList                   // nil: it is not kept
+	own     *share                      // nil: without [ownership]
 
 	// For the way from one process to the next; see handover.go.
 	ln       net.Listener
@@ -158,10 +159,12 @@
 			cfg.Known, told = l, at
 		}
 	}
+	own := openShare(cfg, j, log)
+	cfg.Known = own.only(cfg.Known)
 	_, idle := descriptors(max(cfg.Limits.Sockets, 4*leastIdle), cfg.Settings.Slots)
 	return &Node{
-		told: told, kept: kept,
-		cfg: cfg, log: log, journal: j, sender: choice.New(cfg.Settings, seed(cfg.Seed)), start: time.Now(),
+		told: told, kept: kept, own: own,
+		cfg: cfg, log: log, journal: j, sender: choice.New(cfg.moduleSettings(), seed(cfg.Seed)), start: time.Now(),
 		pool:   newPool(cfg.Settings.DialTimeout, cfg.Settings.ConnIdle, idle),
 		events: make(chan any, eventQueue), orders: make(chan order), notices: make(chan []notice), moves: make(chan []string),
 		over: make(chan struct{}), messages: map[string]*past{},
@@ -185,6 +188,9 @@
 	if s := n.stage.Load(); s != inService {
 		return stages[s]
 	}
+	if s := n.figures.share.Load(); s != nil && s.unready() != "" {
+		return s.unready()
+	}
 	if n.figures.listed.Load() == 0 {
 		return "no endpoints are known"
 	}
@@ -320,7 +326,7 @@
 			parts.Go(func() { n.kept.run(here) })
 		}
 		parts.Go(func() {
-			w.Watch(here, func(l registry.News) error {
+			n.watch(here, &w, func(l registry.News) error {
 				n.tell(ctx, l)
 				if n.kept != nil {
 					n.kept.take(l)
@@ -513,6 +519,8 @@
 			events = append(events, n.elsewhere(e)...)
 		case forebearGone:
 			events = append(events, n.orphaned()...)
+		case shareEvent:
+			e.tell(n.own)
 		case called:
 			events = append(events, n.called(e)...)
 		case settled:
@@ -558,6 +566,8 @@
 	case p != nil: // taken on before: handed in again it has no second effect
 		n.acts = append(n.acts, act{do: func() { a.reply <- answer{} }})
 		return nil
+	case n.own != nil && n.foreign(a):
+		return nil
 	case !n.sender.Knows(a.dest):
 		a.reply <- answer{failed: "unknown destination"}
 		return nil
@@ -571,6 +581,9 @@
 		a.reply <- n.turnAway(a)
 		return nil
 	}
+	if n.own != nil {
+		n.own.took(p)
+	}
 	n.messages[p.id] = p
 	n.held++
 	fresh[p.seq] = []arrival{a}
@@ -828,6 +841,9 @@
 	n.figures.active.Store(int64(n.held))
 	n.figures.listed.Store(int64(listed))
 	n.figures.avoided.Store(int64(avoided))
+	if n.own != nil {
+		n.own.show(n.figures)
+	}
 }
 
 // end gives a message its final answer: to its client if that still waits, and by a notice otherwise.
