Ownership: maps and agreement held to what they promise, with breaches that the checks find

Maps by random fleets and changes: distinct owners in unlike zones, loads bounded, nothing moves without a reason, independent of the members' order, encoded and back. Agreement by 1,500 random schedules of two controllers over the catalog's own records. Make at first took newcomers' parts only where they outrank an owner, so that they got 10 of 15, and filled vacancies by chains before newcomers had their share; both were found by these tests and changed.

--- /dev/null
+++ b/fleet/ownership/agree_test.go
@@ -0,0 +1,392 @@
+package ownership_test
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"starlingusher/fleet/catalog"
+	. "starlingusher/fleet/ownership"
+)
+
+// The catalog knows maps, so what plays with both stands outside of the package.
+
+// writer is an Agreement or a double of it.
+type writer interface {
+	Begin() Action
+	Step(Answer) (Action, bool)
+}
+
+// sent is an action on its way to the directory, or its answer on the way back.
+type sent struct {
+	who, life int
+	holder    string
+	action    Action
+	answer    Answer
+}
+
+// process is a controller: one life of it writes one map, and then the next begins.
+type process struct {
+	life    int
+	holder  string
+	w       writer
+	waiting Action
+	ended   bool
+}
+
+// world is two controllers and the directory's record, which is the catalog's own state machine.
+type world struct {
+	rng      *rand.Rand
+	make     func(*world) writer
+	state    *catalog.State
+	all      [2]process
+	asks     []sent
+	answers  []sent
+	variants []*Map // of a first map, to be had at no cost
+	given    map[int64][]byte
+	last     int64
+	wrote    map[[2]int]bool // lives whose writes were done
+	never    map[[2]int]bool // lives that ended sure that they wrote nothing
+	count    map[string]int
+	bad      []string
+}
+
+func newWorld(seed uint64, variants []*Map, make_ func(*world) writer) *world {
+	w := &world{
+		rng: rand.New(rand.NewPCG(seed, 7)), make: make_, state: catalog.New(), variants: variants, given: map[int64][]byte{}, wrote: map[[2]int]bool{},
+		never: map[[2]int]bool{}, count: map[string]int{},
+	}
+	w.state.Apply(catalog.Command{At: 1, Found: &catalog.Found{}})
+	for i := range w.all {
+		w.restart(i)
+	}
+	return w
+}
+
+// variant is a map of a number, made from what the members are just now.
+func (w *world) variant(number int64) *Map {
+	m := *w.variants[w.rng.IntN(len(w.variants))]
+	m.Number = number
+	return &m
+}
+
+func (w *world) restart(i int) {
+	p := &w.all[i]
+	p.life++
+	if w.rng.IntN(2) == 0 || p.holder == "" { // else as the same, as an operator who calls again
+		p.holder = fmt.Sprintf("c%d.%d", i, p.life)
+	}
+	if w.rng.IntN(20) == 0 {
+		p.holder = w.all[1-i].holder + "" // or by mistake as the other
+		if p.holder == "" {
+			p.holder = "c"
+		}
+	}
+	p.w, p.ended = w.make(w), false
+	w.do(i, p.w.Begin())
+}
+
+func (w *world) do(i int, a Action) {
+	p := &w.all[i]
+	p.waiting = a
+	if a.Do != End {
+		w.asks = append(w.asks, sent{who: i, life: p.life, holder: p.holder, action: a})
+		return
+	}
+	p.ended = true
+	key := [2]int{i, p.life}
+	switch {
+	case a.Map != nil:
+		w.count["ended with a map"]++
+		raw, err := a.Map.Encode()
+		if err != nil || !bytes.Equal(w.given[a.Map.Number], raw) {
+			w.bad = append(w.bad, fmt.Sprintf("controller %d says that it wrote map %d, which was not written (%v)", i, a.Map.Number, err))
+		}
+	case errors.Is(a.Err, ErrUnknown):
+		w.count["ended not knowing"]++
+	case a.Err != nil:
+		w.count["ended without"]++
+		w.never[key] = true
+		if w.wrote[key] {
+			w.bad = append(w.bad, fmt.Sprintf("controller %d says that it wrote nothing, and has: %v", i, a.Err))
+		}
+	default:
+		w.bad = append(w.bad, fmt.Sprintf("controller %d ended and says nothing", i))
+	}
+}
+
+// serve carries out an ask at the directory.
+func (w *world) serve(s sent) Answer {
+	ans := Answer{Seq: s.action.Seq, Came: Done}
+	var r catalog.Result
+	switch s.action.Do {
+	case Acquire:
+		r = w.state.Apply(catalog.Command{Acquire: &catalog.Hold{Name: Record, Holder: s.holder, TTL: 10_000}})
+		ans.Token = r.Token
+	case Read:
+		record, ok := w.state.Record(Record)
+		if !ok {
+			r.Err = catalog.ErrUnknown
+		}
+		ans.Value = record.Value
+	case Update:
+		r = w.state.Apply(catalog.Command{Update: &catalog.Hold{Name: Record, Token: s.action.Token, Value: s.action.Value}})
+		if r.Err == nil {
+			w.written(s)
+		}
+	case Release:
+		r = w.state.Apply(catalog.Command{Release: &catalog.Hold{Name: Record, Token: s.action.Token}})
+	}
+	if r.Err != nil {
+		ans.Came, ans.Err = Refused, r.Err
+	}
+	return ans
+}
+
+// written looks at each new value.
+func (w *world) written(s sent) {
+	m, err := Decode(s.action.Value)
+	if err != nil {
+		w.bad = append(w.bad, fmt.Sprint("what was written can't be read: ", err))
+		return
+	}
+	w.count["written"]++
+	key := [2]int{s.who, s.life}
+	w.wrote[key] = true
+	if w.never[key] {
+		w.bad = append(w.bad, fmt.Sprintf("controller %d said that it wrote nothing, and map %d of its came after", s.who, m.Number))
+	}
+	if old, ok := w.given[m.Number]; ok && !bytes.Equal(old, s.action.Value) {
+		w.bad = append(w.bad, fmt.Sprintf("number %d was given twice", m.Number))
+	} else if !ok && m.Number <= w.last {
+		w.bad = append(w.bad, fmt.Sprintf("number %d came after %d", m.Number, w.last))
+	}
+	w.given[m.Number], w.last = s.action.Value, max(w.last, m.Number)
+}
+
+func (w *world) tell(i int, ans Answer) {
+	if next, ok := w.all[i].w.Step(ans); ok {
+		w.do(i, next)
+	}
+}
+
+// step lets one thing happen, of which faults are a share.
+func (w *world) step(faults float64) {
+	pull := func(from *[]sent) sent {
+		i := w.rng.IntN(len(*from))
+		s := (*from)[i]
+		*from = slices.Delete(*from, i, i+1)
+		return s
+	}
+	i := w.rng.IntN(2)
+	p := &w.all[i]
+	if w.rng.Float64() < faults {
+		stage := p.waiting.Do
+		switch w.rng.IntN(8) {
+		case 0:
+			w.count[fmt.Sprint("killed at ", stage)]++
+			w.restart(i)
+		case 1: // the answer is given up; what was asked may be on its way for long
+			w.count[fmt.Sprint("lost at ", stage)]++
+			w.tell(i, Answer{Seq: p.waiting.Seq, Came: Lost})
+		case 2:
+			w.tell(i, Answer{Seq: p.waiting.Seq, Came: Lapsed})
+		case 3:
+			if w.rng.IntN(4) == 0 {
+				w.tell(i, Answer{Seq: p.waiting.Seq, Came: GaveUp})
+			}
+		case 4:
+			if len(w.asks) > 0 {
+				pull(&w.asks)
+			}
+		case 5:
+			if len(w.answers) > 0 {
+				pull(&w.answers)
+			}
+		case 6:
+			if len(w.asks) > 0 { // a replica that knows no leader
+				s := pull(&w.asks)
+				w.answers = append(w.answers, sent{who: s.who, life: s.life, answer: Answer{Seq: s.action.Seq, Came: Refused, Err: errors.New("no leader")}})
+			}
+		case 7:
+			if r, ok := w.state.Record(Record); ok && r.Holder != "" {
+				w.count["lapsed"]++
+				w.state.Apply(catalog.Command{Lapse: &catalog.Lapse{Records: []catalog.Hold{{Name: Record, Token: r.Token}}}})
+			}
+		}
+		return
+	}
+	switch {
+	case p.ended && w.rng.IntN(4) == 0:
+		w.restart(i)
+	case len(w.answers) > 0 && w.rng.IntN(2) == 0:
+		if s := pull(&w.answers); s.life == w.all[s.who].life {
+			w.tell(s.who, s.answer)
+		}
+	case len(w.asks) > 0:
+		s := pull(&w.asks)
+		w.answers = append(w.answers, sent{who: s.who, life: s.life, answer: w.serve(s)})
+	}
+}
+
+// careful writes a map of what the members are; now and then nothing is to change, or it may not.
+func careful(w *world) writer {
+	a := &Agreement{}
+	a.Plan = func(number int64, before *Map) (*Map, error) {
+		switch k := w.rng.IntN(12); {
+		case k == 0 && before != nil:
+			return before, nil
+		case k == 1:
+			return nil, ErrLarge
+		}
+		return w.variant(number), nil
+	}
+	return a
+}
+
+func variants(t *testing.T) []*Map {
+	var all []*Map
+	for n := 1; n <= 3; n++ {
+		m, err := Make(1, 1, Fleet(n, 1), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		all = append(all, m)
+	}
+	return all
+}
+
+// play runs schedules until one is bad, and tells its seed and what was bad.
+func play(t *testing.T, from, schedules uint64, count map[string]int, make_ func(*world) writer) (uint64, []string) {
+	all := variants(t)
+	for seed := from; seed < from+schedules; seed++ {
+		w := newWorld(seed, all, make_)
+		for range 150 {
+			w.step(0.3)
+		}
+		for k, n := range w.count {
+			count[k] += n
+		}
+		if len(w.bad) > 0 {
+			return seed, w.bad
+		}
+	}
+	return 0, nil
+}
+
+func TestAgreement(t *testing.T) {
+	count := map[string]int{}
+	if seed, bad := play(t, 1, 1500, count, careful); bad != nil {
+		t.Fatalf("seed %d: %v", seed, bad)
+	}
+	t.Log(count)
+	for _, what := range []string{"written", "ended with a map", "ended without", "ended not knowing", "lapsed"} {
+		if count[what] < 20 {
+			t.Errorf("%q came %d times only", what, count[what])
+		}
+	}
+	for _, stage := range []Verb{Acquire, Read, Update, Release, End} {
+		if what := fmt.Sprint("killed at ", stage); count[what] < 20 {
+			t.Errorf("%q came %d times only", what, count[what])
+		}
+	}
+}
+
+func TestAgreementCheckFindsBreaches(t *testing.T) {
+	for name, double := range map[string]func(*world) writer{
+		"a lost write sent again with another map": func(w *world) writer {
+			c := &Careless{Other: w.variant}
+			c.Plan = func(number int64, _ *Map) (*Map, error) { return w.variant(number), nil }
+			return c
+		},
+		"a lost write taken for not done": func(w *world) writer {
+			h := &Hasty{}
+			h.Plan = func(number int64, _ *Map) (*Map, error) { return w.variant(number), nil }
+			return h
+		},
+	} {
+		seed, bad := play(t, 1, 2000, map[string]int{}, double)
+		if bad == nil {
+			t.Errorf("%s: not found in 2000 schedules", name)
+			continue
+		}
+		t.Logf("%s: found in schedule %d: %s", name, seed, bad[0])
+	}
+}
+
+// TestAgreementEnds: once nothing is lost, whatever was before, a controller writes its map in a few steps.
+func TestAgreementEnds(t *testing.T) {
+	all := variants(t)
+	for seed := range uint64(300) {
+		w := newWorld(seed, all, careful)
+		for range 100 {
+			w.step(0.4)
+		}
+		for len(w.asks) > 0 {
+			w.step(0)
+		}
+		if r, _ := w.state.Record(Record); r.Holder != "" {
+			w.state.Apply(catalog.Command{Lapse: &catalog.Lapse{Records: []catalog.Hold{{Name: Record, Token: r.Token}}}})
+		}
+		a := &Agreement{Plan: func(number int64, _ *Map) (*Map, error) { return w.variant(number), nil }}
+		next, did := a.Begin(), ""
+		for next.Do != End {
+			did += fmt.Sprint(next.Do)
+			var ok bool
+			if next, ok = a.Step(w.serve(sent{who: 0, life: -1, holder: "quiet", action: next})); !ok {
+				t.Fatalf("seed %d: an answer was not taken", seed)
+			}
+		}
+		if next.Err != nil || next.Map == nil || next.Map.Number != w.last || did != "1234" || len(w.bad) > 0 {
+			t.Fatalf("seed %d: %s: %+v, the last number is %d, %v", seed, did, next, w.last, w.bad)
+		}
+	}
+}
+
+func TestAgreementReads(t *testing.T) {
+	m, err := Make(7, 2, Fleet(4, 2), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	good, err := m.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		what  string
+		value []byte
+		above int64
+		first bool // Plan is given no map before
+		want  int64
+	}{
+		{"never written", nil, 0, true, 1},
+		{"a map", good, 0, false, 8},
+		{"a map and a number above", good, 20, false, 21},
+		{"a map and a number that it is past", good, 3, false, 8},
+		{"spoilt", good[:40], 0, false, 0},
+		{"empty", []byte{}, 0, false, 0},
+		{"spoilt and a number above", good[:40], 20, true, 21},
+	} {
+		var number int64
+		var before *Map
+		a := &Agreement{Above: c.above, Plan: func(n int64, b *Map) (*Map, error) {
+			number, before = n, b
+			return Make(n, 2, Fleet(5, 2), b)
+		}}
+		next := a.Begin()
+		next, _ = a.Step(Answer{Seq: next.Seq, Came: Done, Token: 5})
+		next, _ = a.Step(Answer{Seq: next.Seq, Came: Done, Value: c.value})
+		if number != c.want || (c.want > 0 && (before == nil) != c.first) {
+			t.Errorf("%s: number %d from %v", c.what, number, before)
+		}
+		if c.want == 0 && (next.Do != Release || next.Token != 5) {
+			t.Errorf("%s: %+v", c.what, next)
+		}
+		if c.want > 0 && (next.Do != Update || next.Token != 5) {
+			t.Errorf("%s: %+v", c.what, next)
+		}
+	}
+}
--- a/fleet/ownership/code.go
+++ b/fleet/ownership/code.go
@@ -11,7 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 )
 
-// MaxBytes of an encoded map: what a record of the directory holds. At 2,000 members it has room for names of some 20
+// MaxBytes of an encoded map: what a record of the directory holds. At 2,000 members it has room for names of some 18
 // bytes, at 820 for some 50.
 const MaxBytes = 64 << 10
 
--- a/fleet/ownership/make.go
+++ b/fleet/ownership/make.go
@@ -21,9 +21,10 @@
 )
 
 // The bounds of a member's load, as multiples of its fair share; one part is added to each, for what can't be divided.
-// A member is given parts up to the first and loses parts from the second on. So a fleet may grow or shrink by a tenth
-// before anything moves between members that stay, and a member that has come takes its share from the fullest. The
-// second is what memory and limits of a node are reckoned with: 15% over the share, 18 parts where it is 15.
+// A member is given parts up to its share if that can be, else up to the first bound, and loses parts from the second
+// on. The second is what a node's memory and limits are reckoned with: 15% over the share, 18 parts where it is 15. The
+// gap between them is there so that a fleet may grow by a tenth before a part moves between members that stay; without
+// one, each member at the bound would have to give a part away whenever the share falls.
 const (
 	fillTo = 1.05
 	keepTo = 1.15
@@ -34,9 +35,9 @@
 
 // Make gives each partition its owners: copies of them, or all members if those are fewer, in as many zones as there
 // are. It ranks members for a partition by weighted rendezvous hashing and bounds what one is given, see fillTo. With
-// before, a partition keeps its owners but for those that left, those whose zone another of its owners has while a
-// zone has none, those past their bound, and those that a member which has come (or grown, or is in another zone now)
-// outranks, until that one has its fair share. The result does not hang on the order of members. Errors are ErrBad.
+// before, a partition keeps its owners but for those that left, those who share their zone while a zone has none, those
+// past their bound, and those above their share of whom a member takes that has come (or grown, or is in another zone
+// now), until it has its own share. The result does not hang on the order of members. Errors are ErrBad.
 func Make(number int64, copies int, members []Member, before *Map) (*Map, error) {
 	members = slices.SortedFunc(slices.Values(members), func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
 	if err := check(number, copies, members); err != nil {
@@ -48,8 +49,7 @@
 	k := newMaker(copies, members)
 	came := k.keep(before)
 	for p := range Partitions {
-		for len(k.owners[p]) < k.per {
-			k.fillOne(p, came)
+		for len(k.owners[p]) < k.per && k.offer(p, came) {
 		}
 	}
 	for m := range members {
@@ -57,6 +57,11 @@
 			k.arrive(m, came)
 		}
 	}
+	for p := range Partitions { // where zones are all but full: rare
+		for len(k.owners[p]) < k.per {
+			k.force(p, came)
+		}
+	}
 	for m := range members {
 		k.shed(m, came)
 	}
@@ -209,8 +214,9 @@
 	unlike  int // zones that each partition's owners are in
 	per     int // owners of each partition
 	share   []float64
-	fill    []int // a member is given parts while it has fewer,
-	bound   []int // and loses parts while it has more
+	even    []int // a member is given parts while it has fewer,
+	fill    []int // or fewer than this if nobody else can be,
+	bound   []int // and loses parts while it has more than this
 	owners  [][]int
 	held    []Set
 	load    []int
@@ -227,6 +233,7 @@
 	k.unlike = min(k.per, zones)
 	k.share = shares(members, k.per)
 	for _, s := range k.share {
+		k.even = append(k.even, int(s))
 		k.fill = append(k.fill, min(int(fillTo*s+1), Partitions))
 		k.bound = append(k.bound, min(int(keepTo*s+1), Partitions))
 	}
@@ -364,14 +371,22 @@
 	return best
 }
 
-// fillOne gives a partition one more owner.
-func (k *maker) fillOne(p int, came []bool) {
+// offer gives a partition one more owner, within the bounds, or tells that nobody can be.
+func (k *maker) offer(p int, came []bool) bool {
+	for _, limit := range [][]int{k.even, k.fill, k.bound} {
+		if m := k.pick(p, -1, limit, came); m >= 0 {
+			k.give(p, m)
+			return true
+		}
+	}
+	return false
+}
+
+// force gives a partition one more owner, by a chain if it must.
+func (k *maker) force(p int, came []bool) {
 	for range maxChains {
-		for _, limit := range [][]int{k.fill, k.bound} {
-			if m := k.pick(p, -1, limit, came); m >= 0 {
-				k.give(p, m)
-				return
-			}
+		if k.offer(p, came) {
+			return
 		}
 		if !k.chain(p, -1) {
 			break
@@ -383,8 +398,8 @@
 	k.give(p, k.pick(p, -1, nil, came)) // the zones count more than the bound
 }
 
-// arrive lets a member that has come take what it outranks the lowest owner for, until it has its share: first from
-// those who have more than theirs.
+// arrive lets a member that has come take its fair share, from those who have more than theirs and first where it ranks
+// highest beside them.
 func (k *maker) arrive(m int, came []bool) {
 	type part struct {
 		p, from int
@@ -392,34 +407,36 @@
 	}
 	var parts []part
 	for p := range Partitions {
-		lowest := -1
+		if k.held[m].Has(p) {
+			continue
+		}
+		score := k.score(m, p)
 		for _, o := range k.owners[p] {
-			if !came[o] && (lowest < 0 || k.compare(o, lowest, p) < 0) && k.fits(p, m, o) {
-				lowest = o
+			if !came[o] && float64(k.load[o]) > k.share[o] && k.fits(p, m, o) {
+				parts = append(parts, part{p, o, score / k.score(o, p)})
 			}
 		}
-		if lowest >= 0 && k.compare(m, lowest, p) > 0 {
-			parts = append(parts, part{p, lowest, k.score(m, p) / k.score(lowest, p)})
-		}
 	}
-	slices.SortFunc(parts, func(a, b part) int { return cmp.Or(cmp.Compare(b.by, a.by), cmp.Compare(a.p, b.p)) })
-	for _, fromAny := range []bool{false, true} {
+	slices.SortFunc(parts, func(a, b part) int {
+		return cmp.Or(cmp.Compare(b.by, a.by), cmp.Compare(a.p, b.p), cmp.Compare(a.from, b.from))
+	})
+	for _, pastBound := range []bool{true, false} { // first what they would have to give to anybody
 		for _, c := range parts {
 			if float64(k.load[m]+1) > k.share[m] {
 				return
 			}
-			if k.held[m].Has(c.p) || !fromAny && float64(k.load[c.from]) <= k.share[c.from] {
-				continue
+			load := k.load[c.from]
+			if !k.held[m].Has(c.p) && float64(load) > k.share[c.from] && (!pastBound || load > k.bound[c.from]) {
+				k.take(c.p, c.from)
+				k.give(c.p, m)
 			}
-			k.take(c.p, c.from)
-			k.give(c.p, m)
 		}
 	}
 }
 
 // shed brings a member down to its bound.
 func (k *maker) shed(m int, came []bool) {
-	for _, limit := range [][]int{k.fill, k.bound} {
+	for _, limit := range [][]int{k.even, k.fill, k.bound} {
 		if k.load[m] <= k.bound[m] {
 			return
 		}
--- /dev/null
+++ b/fleet/ownership/ownership_test.go
@@ -0,0 +1,751 @@
+package ownership
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+	"pgregory.net/rapid"
+)
+
+// fleet is n members of weight 1 in so many zones.
+func fleet(n, zones int) []Member {
+	var all []Member
+	for i := range n {
+		all = append(all, Member{Name: fmt.Sprintf("n%04d", i), Zone: fmt.Sprint("z", i%zones), Weight: 1})
+	}
+	return all
+}
+
+// making is Make or a double of it.
+type making func(number int64, copies int, members []Member, before *Map) (*Map, error)
+
+// audit holds a map against what Make promises of it; before may be nil. It works out all but the fair shares itself.
+func audit(before, after *Map) error {
+	per := min(after.Copies, len(after.Members))
+	members := map[string]Member{}
+	zones := map[string]bool{}
+	for _, m := range after.Members {
+		members[m.Name] = m
+		zones[m.Zone] = true
+	}
+	load := map[string]int{}
+	for p := range Partitions {
+		owners := after.Owners(p)
+		in, who := map[string]bool{}, map[string]bool{}
+		for _, o := range owners {
+			if members[o].Zone == "" {
+				return fmt.Errorf("partition %d: owner %q is no member", p, o)
+			}
+			who[o], in[members[o].Zone] = true, true
+			load[o]++
+		}
+		if len(owners) != per || len(who) != per {
+			return fmt.Errorf("partition %d has owners %v, not %d", p, owners, per)
+		}
+		if len(in) != min(per, len(zones)) {
+			return fmt.Errorf("partition %d has owners %v in %d zones of %d", p, owners, len(in), len(zones))
+		}
+	}
+	bound := map[string]int{}
+	for i, share := range after.Shares() {
+		m := after.Members[i]
+		bound[m.Name] = int(1.15*share + 1)
+		if load[m.Name] > bound[m.Name] {
+			return fmt.Errorf("%s has %d parts, its share is %.2f and its bound %d", m.Name, load[m.Name], share, bound[m.Name])
+		}
+	}
+	if before == nil {
+		return nil
+	}
+	was := map[string]Member{}
+	for _, m := range before.Members {
+		was[m.Name] = m
+	}
+	had := map[string]int{}
+	for p := range Partitions {
+		for _, o := range before.Owners(p) {
+			had[o]++
+		}
+	}
+	for p := range Partitions {
+		then, now := before.Owners(p), after.Owners(p)
+		stay := 0
+		in := map[string]bool{}
+		for _, o := range then {
+			if m, ok := members[o]; ok {
+				in[m.Zone] = true
+				stay++
+			}
+		}
+		vacant, extra := max(per-stay, 0), max(stay-per, 0)
+		crowded := max(min(per, len(zones))-len(in)-vacant, 0) // that share their zone and make way for a zone that has none
+		over, lost, arrived, others := 0, 0, 0, 0
+		for _, o := range then {
+			if _, ok := members[o]; !ok || slices.Contains(now, o) {
+				continue
+			}
+			if had[o] > bound[o] || load[o] >= bound[o] {
+				over++ // it was past its bound, or has taken another in its place and would be
+			} else {
+				lost++
+			}
+		}
+		for _, o := range now {
+			if slices.Contains(then, o) {
+				continue
+			}
+			if m, known := was[o]; !known || m.Zone != members[o].Zone || m.Weight < members[o].Weight {
+				arrived++ // it has come, or is due more
+			} else {
+				others++
+			}
+		}
+		if lost > extra+crowded+arrived || others > vacant+crowded+over {
+			return fmt.Errorf("partition %d went from %v to %v for no reason", p, then, now)
+		}
+	}
+	return nil
+}
+
+func drawMembers(t *rapid.T) []Member {
+	var all []Member
+	zones := rapid.IntRange(1, 7).Draw(t, "zones")
+	weights := rapid.SampledFrom([][]float64{{1}, {1, 2}, {0.5, 1, 4}, {1e-3, 1, 30}, {1e-300, 1, 1e300}}).Draw(t, "weights")
+	for i := range rapid.IntRange(1, 24).Draw(t, "members") {
+		all = append(all, Member{
+			Name: fmt.Sprint("n", i), Zone: fmt.Sprint("z", rapid.IntRange(0, zones-1).Draw(t, "zone")), Weight: rapid.SampledFrom(weights).Draw(t, "weight"),
+		})
+	}
+	return all
+}
+
+// changed draws another fleet from one: members go, come, move and change their weight.
+func changed(t *rapid.T, members []Member, next *int) []Member {
+	members = slices.Clone(members)
+	for range rapid.IntRange(1, 3).Draw(t, "changes") {
+		i := rapid.IntRange(0, len(members)-1).Draw(t, "which")
+		switch kind := rapid.IntRange(0, 9).Draw(t, "kind"); {
+		case kind < 4 && len(members) > 1:
+			members = slices.Delete(members, i, i+1)
+		case kind < 8:
+			*next++
+			members = append(members, Member{Name: fmt.Sprint("m", *next), Zone: members[i].Zone, Weight: members[i].Weight})
+		case kind == 8:
+			members[i].Zone = fmt.Sprint("z", rapid.IntRange(0, 8).Draw(t, "to zone"))
+		default:
+			members[i].Weight = rapid.SampledFrom([]float64{0.25, 1, 3}).Draw(t, "to weight")
+		}
+	}
+	return members
+}
+
+func TestMaps(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := drawMembers(t)
+		copies := rapid.IntRange(1, MaxCopies).Draw(t, "copies")
+		var before *Map
+		next := 0
+		for i := range rapid.IntRange(1, 4).Draw(t, "maps") {
+			if i > 0 {
+				members = changed(t, members, &next)
+				if rapid.IntRange(0, 9).Draw(t, "other copies") == 0 {
+					copies = rapid.IntRange(1, MaxCopies).Draw(t, "copies")
+				}
+			}
+			m, err := Make(int64(i+1), copies, members, before)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := audit(before, m); err != nil {
+				t.Fatalf("map %d: %v", i+1, err)
+			}
+			raw, err := m.Encode()
+			if err != nil {
+				t.Fatal(err)
+			}
+			other := slices.Clone(members)
+			rand.New(rand.NewPCG(uint64(i), 1)).Shuffle(len(other), func(a, b int) { other[a], other[b] = other[b], other[a] })
+			again, err := Make(int64(i+1), copies, other, before)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if raw2, err := again.Encode(); err != nil || !bytes.Equal(raw, raw2) {
+				t.Fatalf("map %d hangs on the order of its members (%v)", i+1, err)
+			}
+			read, err := Decode(raw)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if raw2, err := read.Encode(); err != nil || !bytes.Equal(raw, raw2) {
+				t.Fatalf("map %d reads as another (%v)", i+1, err)
+			}
+			if err := audit(before, read); err != nil {
+				t.Fatalf("map %d as read: %v", i+1, err)
+			}
+			same, err := Make(int64(i+2), copies, members, m)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if c := Diff(m, same); c.Moved != 0 {
+				t.Fatalf("map %d made again moves %d parts", i+1, c.Moved)
+			}
+			before = m
+		}
+	})
+}
+
+func TestShares(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := drawMembers(t)
+		copies := rapid.IntRange(1, MaxCopies).Draw(t, "copies")
+		per := min(copies, len(members))
+		all := shares(members, per)
+		sum := 0.0
+		for i, s := range all {
+			sum += s
+			if !(s >= 0) || s > Partitions {
+				t.Fatalf("member %d has a share of %v", i, s)
+			}
+			for j, o := range all {
+				if members[i].Zone == members[j].Zone && members[i].Weight >= members[j].Weight && s < o-1e-6 {
+					t.Fatalf("member %d has more weight than %d in its zone and less share: %v, %v", i, j, s, o)
+				}
+			}
+		}
+		if math.Abs(sum-float64(Partitions*per)) > 1e-3 {
+			t.Fatalf("the shares come to %v, not %d", sum, Partitions*per)
+		}
+	})
+	for _, c := range []struct {
+		zones  string // of each member
+		copies int
+		want   []float64
+	}{
+		{"abc", 3, []float64{4096, 4096, 4096}},
+		{"aabb", 2, []float64{2048, 2048, 2048, 2048}},
+		{"abbb", 2, []float64{4096, 4096. / 3, 4096. / 3, 4096. / 3}}, // each partition has one owner in a
+		{"aab", 3, []float64{4096, 4096, 4096}},
+		{"aaaa", 3, []float64{3072, 3072, 3072, 3072}},
+		{"abcccc", 3, []float64{4096, 4096, 1024, 1024, 1024, 1024}},
+		{"aaaab", 3, []float64{2048, 2048, 2048, 2048, 4096}},
+	} {
+		var members []Member
+		for i, z := range c.zones {
+			members = append(members, Member{Name: fmt.Sprint(i), Zone: string(z), Weight: 1})
+		}
+		for i, s := range shares(members, c.copies) {
+			if math.Abs(s-c.want[i]) > 1e-6 {
+				t.Errorf("%s with %d copies: %v, not %v", c.zones, c.copies, shares(members, c.copies), c.want)
+				break
+			}
+		}
+	}
+}
+
+// TestAuditFindsBreaches plays doubles of Make, each with one fault, as one member after the other leaves.
+func TestAuditFindsBreaches(t *testing.T) {
+	anew := func(number int64, copies int, members []Member, _ *Map) (*Map, error) {
+		return Make(number, copies, members, nil)
+	}
+	alike := func(number int64, copies int, members []Member, before *Map) (*Map, error) {
+		blind := slices.Clone(members)
+		for i := range blind {
+			blind[i].Zone = "z"
+		}
+		m, err := Make(number, copies, blind, before)
+		if err == nil {
+			m.Members = slices.SortedFunc(slices.Values(members), func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+		}
+		return m, err
+	}
+	heavy := func(number int64, copies int, members []Member, before *Map) (*Map, error) {
+		m, err := Make(number, copies, members, before)
+		if err == nil { // the first member takes a share of what others in its zone have
+			for i, o := range m.owners {
+				if m.Members[o].Zone == m.Members[0].Zone && i%20 == 0 {
+					m.owners[i] = 0
+				}
+			}
+		}
+		return m, err
+	}
+	for _, c := range []struct {
+		what   string
+		double making
+		want   string
+	}{{"made anew each time", anew, "for no reason"}, {"zones not looked at", alike, "zones of"}, {"bounds not kept", heavy, "its bound"}} {
+		members := fleet(120, 6)
+		var before *Map
+		var found error
+		for i := range 4 {
+			m, err := c.double(int64(i+1), 3, members, before)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if found = audit(before, m); found != nil {
+				break
+			}
+			before, members = m, slices.Delete(slices.Clone(members), 7, 8)
+		}
+		if found == nil || !strings.Contains(found.Error(), c.want) {
+			t.Errorf("%s: found %v", c.what, found)
+		} else {
+			t.Logf("%s: %v", c.what, found)
+		}
+	}
+}
+
+func must(t testing.TB, number int64, members []Member, before *Map) *Map {
+	t.Helper()
+	m, err := Make(number, 3, members, before)
+	if err == nil {
+		err = audit(before, m)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	return m
+}
+
+// between counts the parts that went to a member that was there before.
+func between(a, b *Map) int {
+	n := 0
+	for p := range Partitions {
+		then := a.Owners(p)
+		for _, o := range b.Owners(p) {
+			if _, there := a.find(o); there && !slices.Contains(then, o) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// TestTarget is the fleet that decides the design: 820 members in 6 zones.
+func TestTarget(t *testing.T) {
+	members := fleet(820, 6)
+	first := must(t, 1, members, nil)
+	loads := first.Loads()
+	t.Logf("loads %d to %d", slices.Min(loads), slices.Max(loads))
+	rng := rand.New(rand.NewPCG(1, 2))
+	for range 20 { // one leaves: its parts move and no others
+		i := rng.IntN(len(members))
+		m := must(t, 2, slices.Delete(slices.Clone(members), i, i+1), first)
+		if c := Diff(first, m); c.Moved != loads[i] || c.Bare != 0 {
+			t.Errorf("%s owned %d parts and leaves: %d move, %d partitions keep no owner", members[i].Name, loads[i], c.Moved, c.Bare)
+		}
+	}
+	for i := range 20 { // one comes: its fair share goes to it, and nothing to others
+		came := Member{Name: fmt.Sprint("new", i), Zone: fmt.Sprint("z", i%6), Weight: 1}
+		m := must(t, 2, append(slices.Clone(members), came), first)
+		c := Diff(first, m)
+		own, _ := m.Of(came.Name)
+		if n := between(first, m); n != 0 || c.Moved != own.Len() || c.Moved < 12 || c.Moved > 15 || c.Bare != 0 {
+			t.Errorf("%s comes, its share is 14.97: %d move to it, %d between others", came.Name, c.Moved, n)
+		}
+	}
+	for i := range 20 { // one is replaced by another: that one gets its share of what it had
+		j := rng.IntN(len(members))
+		other := slices.Clone(members)
+		other[j].Name = fmt.Sprint("new", i)
+		m := must(t, 2, other, first)
+		if c := Diff(first, m); c.Moved < loads[j] || c.Moved > max(loads[j], 15) || between(first, m) > max(loads[j]-14, 0) {
+			t.Errorf("%s owned %d parts and is replaced: %d move, %d of them between others", members[j].Name, loads[j], c.Moved, between(first, m))
+		}
+	}
+	// A zone goes, and comes back.
+	gone := slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return m.Zone == "z3" })
+	owned := 0
+	for i, m := range members {
+		if m.Zone == "z3" {
+			owned += loads[i]
+		}
+	}
+	less := must(t, 2, gone, first)
+	c := Diff(first, less)
+	if c.Moved != owned || c.Bare != 0 {
+		t.Errorf("a zone of %d parts goes: %d move, %d partitions keep no owner", owned, c.Moved, c.Bare)
+	}
+	back := must(t, 3, members, less)
+	c2 := Diff(less, back)
+	if n := between(less, back); n != 0 || c2.Moved < 1800 || c2.Moved > 2053 { // its share is 2,053
+		t.Errorf("a zone comes back: %d parts move, %d of them between others", c2.Moved, n)
+	}
+	t.Logf("a zone goes: %d parts move; it comes back: %d", c.Moved, c2.Moved)
+}
+
+// TestManyChanges plays some days: members are replaced, leave and come, and what moves stays what had to.
+func TestManyChanges(t *testing.T) {
+	members := fleet(200, 6)
+	rng := rand.New(rand.NewPCG(3, 4))
+	before := must(t, 1, members, nil)
+	moved, owned := 0, 0
+	for i := range 150 {
+		next := slices.Clone(members)
+		switch j := rng.IntN(len(next)); {
+		case i%3 == 0 && len(next) > 150:
+			next = slices.Delete(next, j, j+1)
+		case i%3 == 1:
+			next = append(next, Member{Name: fmt.Sprint("late", i), Zone: next[j].Zone, Weight: 1})
+		default:
+			next[j].Name = fmt.Sprint("other", i)
+		}
+		m := must(t, int64(i+2), next, before)
+		moved += Diff(before, m).Moved
+		owned += Partitions * 3 / len(next)
+		before, members = m, next
+	}
+	loads := before.Loads()
+	t.Logf("%d parts moved where those who came or left were due %d; loads %d to %d", moved, owned, slices.Min(loads), slices.Max(loads))
+	if float64(moved) > 1.1*float64(owned) {
+		t.Errorf("%d parts moved where those who came or left were due %d", moved, owned)
+	}
+}
+
+func TestSizes(t *testing.T) {
+	for _, c := range []struct{ members, name int }{{820, 6}, {820, 48}, {2000, 6}, {2000, 18}} {
+		var all []Member
+		for i := range c.members {
+			all = append(all, Member{Name: fmt.Sprintf("%0*d", c.name, i), Zone: fmt.Sprint("zone-", i%6), Weight: 1 + float64(i%3)/2})
+		}
+		raw, err := must(t, 1, all, nil).Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Logf("%d members with names of %d bytes: %d bytes", c.members, c.name, len(raw))
+		if len(raw) > MaxBytes {
+			t.Errorf("%d bytes, %d at most", len(raw), MaxBytes)
+		}
+	}
+	var all []Member
+	for i := range 2000 {
+		all = append(all, Member{Name: fmt.Sprintf("%0100d", i), Zone: "z", Weight: 1})
+	}
+	if _, err := must(t, 1, all, nil).Encode(); !errors.Is(err, ErrBad) {
+		t.Errorf("2000 names of 100 bytes: %v", err)
+	}
+}
+
+func TestMakeRefuses(t *testing.T) {
+	good := Member{Name: "a", Zone: "z", Weight: 1}
+	before, err := Make(5, 3, []Member{good}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, c := range map[string]struct {
+		number  int64
+		copies  int
+		members []Member
+		before  *Map
+	}{
+		"number 0":         {0, 3, []Member{good}, nil},
+		"the same number":  {5, 3, []Member{good}, before},
+		"no copies":        {6, 0, []Member{good}, nil},
+		"6 copies":         {6, 6, []Member{good}, nil},
+		"no members":       {6, 3, nil, nil},
+		"twice":            {6, 3, []Member{good, good}, nil},
+		"no name":          {6, 3, []Member{{Zone: "z", Weight: 1}}, nil},
+		"a space":          {6, 3, []Member{{Name: "a b", Zone: "z", Weight: 1}}, nil},
+		"a control":        {6, 3, []Member{{Name: "a\x00", Zone: "z", Weight: 1}}, nil},
+		"not UTF-8":        {6, 3, []Member{{Name: "a\xff", Zone: "z", Weight: 1}}, nil},
+		"a long name":      {6, 3, []Member{{Name: strings.Repeat("a", 201), Zone: "z", Weight: 1}}, nil},
+		"no zone":          {6, 3, []Member{{Name: "a", Weight: 1}}, nil},
+		"weight 0":         {6, 3, []Member{{Name: "a", Zone: "z"}}, nil},
+		"weight below 0":   {6, 3, []Member{{Name: "a", Zone: "z", Weight: -1}}, nil},
+		"weight no number": {6, 3, []Member{{Name: "a", Zone: "z", Weight: math.NaN()}}, nil},
+		"weight infinite":  {6, 3, []Member{{Name: "a", Zone: "z", Weight: math.Inf(1)}}, nil},
+		"too many members": {6, 3, fleet(MaxMembers+1, 3), nil},
+	} {
+		if _, err := Make(c.number, c.copies, c.members, c.before); !errors.Is(err, ErrBad) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+// sealed puts a body behind its mark and hash.
+func sealed(body []byte) []byte {
+	return append(binary.BigEndian.AppendUint64([]byte(mark), xxhash.Sum64(body)), body...)
+}
+
+func TestDecodeRefuses(t *testing.T) {
+	m := must(t, 7, fleet(9, 3), nil)
+	raw, err := m.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for n := range len(raw) {
+		if _, err := Decode(raw[:n]); !errors.Is(err, ErrBad) {
+			t.Fatalf("cut to %d bytes: %v", n, err)
+		}
+	}
+	for bit := range len(raw) * 8 {
+		raw[bit/8] ^= 1 << (bit % 8)
+		if _, err := Decode(raw); !errors.Is(err, ErrBad) {
+			t.Fatalf("bit %d: %v", bit, err)
+		}
+		raw[bit/8] ^= 1 << (bit % 8)
+	}
+	if _, err := Decode(append(slices.Clone(raw), 0)); !errors.Is(err, ErrBad) {
+		t.Fatalf("one byte more: %v", err)
+	}
+	// Well sealed, and no map.
+	var c coded
+	if err := decoding.Unmarshal(raw[sealLen:], &c); err != nil {
+		t.Fatal(err)
+	}
+	for name, spoil := range map[string]func(*coded){
+		"number 0":              func(c *coded) { c.Number = 0 },
+		"no copies":             func(c *coded) { c.Copies = 0 },
+		"many copies":           func(c *coded) { c.Copies = 1 << 40 },
+		"other copies":          func(c *coded) { c.Copies = 2 },
+		"no members":            func(c *coded) { c.Members, c.Owners = nil, nil },
+		"one member less":       func(c *coded) { c.Members = c.Members[1:] },
+		"out of order":          func(c *coded) { c.Members[0], c.Members[1] = c.Members[1], c.Members[0] },
+		"twice":                 func(c *coded) { c.Members[0] = c.Members[1] },
+		"a bad name":            func(c *coded) { c.Members[8].Name = "n 9" },
+		"weight 0":              func(c *coded) { c.Members[0].Weight = 0 },
+		"weight infinite":       func(c *coded) { c.Members[0].Weight = math.Inf(1) },
+		"no such zone":          func(c *coded) { c.Members[0].Zone = 3 },
+		"zone below 0":          func(c *coded) { c.Members[0].Zone = -1 },
+		"zones out of order":    func(c *coded) { c.Zones[0], c.Zones[1] = c.Zones[1], c.Zones[0] },
+		"a zone too many":       func(c *coded) { c.Zones = append(c.Zones, "zz") },
+		"an owner that is none": func(c *coded) { c.Owners[0] = 0xff },
+		"an owner twice":        func(c *coded) { c.Owners[0], c.Owners[1] = 0, 0 },
+		"owners cut":            func(c *coded) { c.Owners = c.Owners[:len(c.Owners)-1] },
+		"owners and more":       func(c *coded) { c.Owners = append(c.Owners, 0) },
+	} {
+		bad := c
+		bad.Zones, bad.Members, bad.Owners = slices.Clone(c.Zones), slices.Clone(c.Members), slices.Clone(c.Owners)
+		spoil(&bad)
+		body, err := encoding.Marshal(bad)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Decode(sealed(body)); !errors.Is(err, ErrBad) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	for name, body := range map[string][]byte{
+		"empty": {}, "an array that does not end": {0x9f}, "a number": {0x01}, "a long array": {0x9b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff},
+		"bytes after it": append(slices.Clone(raw[sealLen:]), 0xf6), "too large": bytes.Repeat([]byte{0}, MaxBytes+1),
+	} {
+		if _, err := Decode(sealed(body)); !errors.Is(err, ErrBad) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	for _, members := range [][]Member{fleet(1, 1), fleet(2, 2), fleet(7, 3)} {
+		m, err := Make(3, 2, members, nil)
+		if err != nil {
+			f.Fatal(err)
+		}
+		raw, err := m.Encode()
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(raw[sealLen:])
+	}
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, body []byte) {
+		if _, err := Decode(body); err == nil && !bytes.HasPrefix(body, []byte(mark)) {
+			t.Fatal("a map without its mark")
+		}
+		m, err := Decode(sealed(body)) // past the hash, which would stop nearly all
+		if err != nil {
+			if !errors.Is(err, ErrBad) {
+				t.Fatal(err)
+			}
+			return
+		}
+		if raw, err := m.Encode(); err != nil || !bytes.Equal(raw, sealed(body)) {
+			t.Fatalf("it is written otherwise: %v", err)
+		}
+		for p := range Partitions {
+			if n := len(m.Owners(p)); n != min(m.Copies, len(m.Members)) {
+				t.Fatalf("partition %d has %d owners", p, n)
+			}
+		}
+	})
+}
+
+func TestSet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		want := map[int]bool{}
+		var s Set
+		for range rapid.IntRange(0, 40).Draw(t, "runs") {
+			from := rapid.IntRange(0, Partitions-1).Draw(t, "from")
+			for p := from; p < min(from+rapid.IntRange(1, 70).Draw(t, "run"), Partitions); p++ {
+				want[p] = true
+				s.Add(p)
+			}
+		}
+		if all := slices.Collect(s.All()); s.Len() != len(want) || !slices.Equal(all, slices.Sorted(maps.Keys(want))) {
+			t.Fatalf("%v holds %v", want, all)
+		}
+		for p := -2; p < Partitions+2; p++ {
+			if s.Has(p) != want[p] {
+				t.Fatalf("has %d: %v", p, s.Has(p))
+			}
+		}
+		text := s.String()
+		if again, err := ParseSet(text); err != nil || again != s {
+			t.Fatalf("%q reads as %q (%v)", text, again, err)
+		}
+		var o Set
+		for p := range want {
+			if p%3 == 0 {
+				o.Add(p)
+			}
+		}
+		if rest := s.Without(o); rest.Union(o) != s || rest.Len()+o.Len() != s.Len() || o.Without(s) != (Set{}) {
+			t.Fatalf("%v without %v is %v", s, o, rest)
+		}
+	})
+	var s Set
+	for _, p := range []int{3, 17, 40, 41, 42, 43, 44} {
+		s.Add(p)
+	}
+	if s.String() != "3,17,40-44" || (Set{}).String() != "" {
+		t.Errorf("%q, %q", s, Set{})
+	}
+	for _, text := range []string{
+		",", "3,", ",3", "a", "-", "3-", "-3", "3-2", "3-3", "03", "+3", " 3", "3 ", "3,3", "4,3", "3,4", "3-5,6", "3-5,5-7", "4096", "0-4096", "-1", "3--5",
+		"99999999999999999999", "3;4", "1-2-3", "\x00",
+	} {
+		if s, err := ParseSet(text); err == nil || s != (Set{}) {
+			t.Errorf("%q is read as %v", text, s)
+		}
+	}
+}
+
+func FuzzParseSet(f *testing.F) {
+	f.Add("3,17,40-44")
+	f.Add("0-4095")
+	f.Fuzz(func(t *testing.T, text string) {
+		if s, err := ParseSet(text); err == nil && s.String() != text {
+			t.Fatalf("%q is written %q", text, s)
+		}
+	})
+}
+
+// TestPartitionOf holds on to the partition of a destination, which is a format: another program may work it out.
+func TestPartitionOf(t *testing.T) {
+	seen := make([]int, Partitions)
+	for d := range 380_000 {
+		p := PartitionOf(d)
+		if want := int(xxhash.Sum64([]byte(fmt.Sprint(d))) % 4096); p != want {
+			t.Fatalf("destination %d is in %d, not %d", d, p, want)
+		}
+		seen[p]++
+	}
+	t.Logf("380,000 destinations: %d to %d in a partition", slices.Min(seen), slices.Max(seen))
+	if slices.Min(seen) < 40 || slices.Max(seen) > 150 {
+		t.Errorf("%d to %d destinations in a partition", slices.Min(seen), slices.Max(seen))
+	}
+	// XXH64 with seed 0 of "0", "1" and "379999", modulo 4096.
+	for d, want := range map[int]int{0: 4076, 1: 1236, 379_999: 1709} {
+		if p := PartitionOf(d); p != want {
+			t.Errorf("destination %d is in %d, not %d", d, p, want)
+		}
+	}
+}
+
+func TestDiff(t *testing.T) {
+	a := must(t, 1, fleet(10, 3), nil)
+	if c := Diff(nil, a); c.Moved != c.Parts || c.Parts != 3*Partitions || c.Bare != Partitions || len(c.Came) != 10 || c.Guard() != nil {
+		t.Errorf("the first map: %+v, %v", c, c.Guard())
+	}
+	if c := Diff(a, a); c.Moved != 0 || c.Bare != 0 || len(c.Came)+len(c.Gone) != 0 || c.Most != slices.Max(a.Loads()) || c.Guard() != nil {
+		t.Errorf("no change: %+v", c)
+	}
+	for _, left := range []int{9, 5, 4, 1} {
+		c := Diff(a, must(t, 2, fleet(left, 3), a))
+		err := c.Guard()
+		if len(c.Gone) != 10-left || (left == 9 && err != nil) || (left < 5 && !errors.Is(err, ErrLarge)) {
+			t.Errorf("%d of 10 left: %+v, %v", left, c, err)
+		}
+	}
+	b := must(t, 2, append([]Member{{Name: "b", Zone: "z0", Weight: 1}}, fleet(10, 3)[1:]...), a)
+	if c := Diff(a, b); !slices.Equal(c.Came, []string{"b"}) || !slices.Equal(c.Gone, []string{"n0000"}) {
+		t.Errorf("one for another: %+v", c)
+	}
+	if _, ok := b.Of("n0000"); ok {
+		t.Error("one that left is in the map")
+	}
+	for i, m := range b.Members {
+		own, ok := b.Of(m.Name)
+		if !ok || own.Len() != b.Loads()[i] {
+			t.Errorf("%s owns %d, not %d", m.Name, own.Len(), b.Loads()[i])
+		}
+		for p := range Partitions {
+			if own.Has(p) != slices.Contains(b.Owners(p), m.Name) {
+				t.Fatalf("%s and partition %d: %v", m.Name, p, own.Has(p))
+			}
+		}
+	}
+	if b.Owners(-1) != nil || b.Owners(Partitions) != nil {
+		t.Error("what is no partition has owners")
+	}
+}
+
+func BenchmarkMake(b *testing.B) {
+	members := fleet(820, 6)
+	first, err := Make(1, 3, members, nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	for name, c := range map[string]struct {
+		members []Member
+		before  *Map
+	}{
+		"first": {members, nil}, "one-left": {members[1:], first}, "one-came": {fleet(821, 6), first},
+	} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := Make(2, 3, c.members, c.before); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkOf(b *testing.B) {
+	m, err := Make(1, 3, fleet(820, 6), nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		m.Of("n0400")
+	}
+}
+
+func BenchmarkDecode(b *testing.B) {
+	m, err := Make(1, 3, fleet(820, 6), nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	raw, err := m.Encode()
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := Decode(raw); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
