Cottonrack: ownership plan, apply, show and where

What a file of members would move, with and without a directory; the map written by the agreement's steps, guarded against taking away more than half; who owns a destination. A script of an operator's way, with mistakes.

--- a/cmd/cottonrack/main.go
+++ b/cmd/cottonrack/main.go
@@ -36,6 +36,7 @@
 	LogLevel  string `enum:"debug,info,warn,error" default:"warn" help:"Least level of the log: debug, info, warn or error."`
 
 	Directory directoryCmd `cmd:"" help:"Run the list service, and look after it."`
+	Ownership ownershipCmd `cmd:"" help:"Part destinations among nodes, by a numbered map."`
 	Lab       labCmd       `cmd:"" help:"Play experiments with real nodes on this machine, judge them, and compare builds."`
 	Version   versionCmd   `cmd:"" help:"Print the program's version."`
 }
