Lab: cottonrack lab ownership, eight nodes and three replicas under faults

Ownership is proved by real processes: nodes with [ownership] in six zones of three regions, each behind fronts and links of its own to the replicas, two controllers that make new maps by the agreement of fleet/ownership and are killed, put to sleep or lose an answer at each boundary of what they write, a writer of the list, and faults between them: kills (also as a node fetches a map), stops, cuts of a node, a region, a replica, older builds of the directory beside and alone.

--- a/cmd/cottonrack/lab.go
+++ b/cmd/cottonrack/lab.go
@@ -31,6 +31,7 @@
 	DirectorySize  labSizeCmd      `cmd:"" help:"Measure the list service: watches, writes, fail-over, and the plain ways beside it."`
 	PlainDirectory labPlainCmd     `cmd:"" hidden:""`
 	Directory      labDirectoryCmd `cmd:"" help:"Prove the list service: three replicas under faults, writers and watchers, and a checker."`
+	Ownership      labOwnershipCmd `cmd:"" help:"Prove ownership of destinations: eight nodes, three replicas, controllers and writers under faults, and a checker."`
 }
 
 // playing is what all commands that play have in common.
--- /dev/null
+++ b/internal/lab/trial/ownership_node.go
@@ -0,0 +1,267 @@
+package trial
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"starlingusher/fleet/catalog"
+	"starlingusher/fleet/experiment"
+	"starlingusher/fleet/history"
+	"starlingusher/fleet/judge"
+	"starlingusher/internal/lab/proc"
+)
+
+const (
+	clientPort  = 6379
+	adminPort   = 9100
+	frontPort   = 8600
+	partnerPort = 9000
+	// Third bytes of addresses in the trial's block.
+	nodeHost    = 1
+	frontHost   = 10 // and so many more as there are replicas
+	windowHost  = 20 // likewise: where nodes reach their fronts
+	partnerHost = 30
+
+	readyWait    = 30 * time.Second
+	termWait     = 10 * time.Second
+	life         = 2 * time.Second // of a message, and the longest deadline of a class
+	clientWait   = 3 * time.Second // for an answer
+	longestHold  = 900 * time.Millisecond
+	shortAnswer  = 3 * time.Millisecond // of a partner
+	classSafe    = 0
+	classKeyed   = 1
+	classUnsafe  = 2
+	neverRefused = 4096 // messages that a node holds at most
+)
+
+var classNames = [...]string{classSafe: "notice", classKeyed: "order", classUnsafe: "payout"}
+
+// settingsOf is what the platform tells a node as its settings.
+func settingsOf(node int, zones []string, nodes int) (json.RawMessage, error) {
+	class := func(n int, e judge.Effect) experiment.ClassPlan {
+		return experiment.ClassPlan{Name: classNames[n], Aim: time.Second, Deadline: life, Worth: 1, LateWorth: 0.5, Effect: e, Window: time.Minute}
+	}
+	p := experiment.Plan{
+		Zones: zones, Kinds: []string{"hook"}, Members: []experiment.MemberPlan{{Name: "m", Share: 1, Allowance: 1e6}},
+		Classes: []experiment.ClassPlan{class(classSafe, judge.Safe), class(classKeyed, judge.Keyed), class(classUnsafe, judge.Unsafe)},
+		Rules: experiment.RulesPlan{
+			MaxAttempts: 6, DrainGrace: time.Second, FallMultiple: 1.5, Fall: 2 * time.Second, ColdFrom: 0.3, WarmWithin: 2 * time.Second,
+			DialTimeout: time.Second, ConnIdle: 5 * time.Second, MaxWait: 3 * time.Second,
+		},
+	}
+	for i := range nodes {
+		p.Nodes = append(p.Nodes, experiment.NodePlan{Zone: i % len(zones), Slots: 64, MaxOpen: neverRefused})
+	}
+	return p.Settings(node)
+}
+
+// ownedNode is one delivery node: its folder, its fronts, and the process that is it now.
+type ownedNode struct {
+	t      *ownershipTrial
+	number int
+	name   string
+	dir    string
+	log    *os.File
+	fronts []*front
+
+	mu sync.Mutex
+	p  *proc.Process
+}
+
+func (t *ownershipTrial) newNode(number int) (*ownedNode, error) {
+	n := &ownedNode{t: t, number: number, name: nodeName(number), dir: filepath.Join(t.opts.Dir, nodeName(number))}
+	for _, d := range []string{"state", "tmp"} {
+		if err := os.MkdirAll(filepath.Join(n.dir, d), 0o700); err != nil {
+			return nil, fmt.Errorf("folder of %s: %w", n.name, err)
+		}
+	}
+	var err error
+	if n.log, err = os.Create(filepath.Join(n.dir, "log")); err != nil {
+		return nil, fmt.Errorf("log of %s: %w", n.name, err)
+	}
+	var addresses []string
+	for i, r := range t.all {
+		reached := fmt.Sprintf("%s:%d", t.block.IP(windowHost+i, number+1), frontPort)
+		f, err := openFront(t, number, i, fmt.Sprintf("%s:%d", t.block.IP(frontHost+i, number+1), frontPort), reached, r.Reached(0))
+		if err != nil {
+			return n, fmt.Errorf("front of %s: %w", n.name, err)
+		}
+		n.fronts = append(n.fronts, f)
+		addresses = append(addresses, strconv.Quote(reached))
+	}
+	text := fmt.Sprintf("[registry]\naddresses = [%s]\nkeep_kb = 64\n[ownership]\nname = %q\nowners = %d\n", strings.Join(addresses, ", "), n.name, copies)
+	if err := os.WriteFile(filepath.Join(n.dir, "fleet.toml"), []byte(text), 0o600); err != nil {
+		return n, err
+	}
+	settings, err := settingsOf(number, t.zones, ownNodes)
+	if err != nil {
+		return n, err
+	}
+	raw, err := json.Marshal(map[string]any{
+		"name": n.name, "listen": n.addr(), "discovery": reachedFirst(n), "seed": fmt.Sprintf("%016x", t.opts.Seed+uint64(number)), "settings": settings,
+		"known": catalog.List{Members: []catalog.Endpoint{}}, "admin_addr": n.admin(),
+		"limits": map[string]any{"cores": 1, "memory_mb": 256, "sockets": 512, "disk_mb": 16},
+	})
+	if err != nil {
+		return n, err
+	}
+	return n, os.WriteFile(filepath.Join(n.dir, "config.json"), raw, 0o600)
+}
+
+func nodeName(n int) string { return fmt.Sprint("n", n) }
+
+func reachedFirst(n *ownedNode) string { return n.fronts[0].link.Addr() }
+
+func (n *ownedNode) addr() string {
+	return fmt.Sprintf("%s:%d", n.t.block.IP(nodeHost, n.number+1), clientPort)
+}
+
+func (n *ownedNode) admin() string {
+	return fmt.Sprintf("%s:%d", n.t.block.IP(nodeHost, n.number+1), adminPort)
+}
+
+// start starts its process, unless it runs, and returns when it answers.
+func (n *ownedNode) start(ctx context.Context) error {
+	n.mu.Lock()
+	p := n.p
+	if p == nil || over(p) {
+		var err error
+		p, err = n.t.sup.Start(proc.Spec{Name: n.name, Command: n.t.own.Node, Log: n.log, Sockets: 512, Env: []string{
+			"PATH=" + os.Getenv("PATH"), "ROUTER_NAME=" + n.name, "ROUTER_LISTEN=" + n.addr(), "ROUTER_DISCOVERY=" + reachedFirst(n),
+			"ROUTER_STATE=" + filepath.Join(n.dir, "state"), "ROUTER_CONFIG=" + filepath.Join(n.dir, "config.json"), "TMPDIR=" + filepath.Join(n.dir, "tmp"),
+			"ROUTER_FLEET=" + filepath.Join(n.dir, "fleet.toml"),
+		}})
+		if err != nil {
+			n.mu.Unlock()
+			return err
+		}
+		n.p = p
+	}
+	n.mu.Unlock()
+	return await(ctx, n.name+" in service", func() bool { return over(p) || n.ping() })
+}
+
+func over(p *proc.Process) bool {
+	select {
+	case <-p.Done():
+		return true
+	default:
+		return false
+	}
+}
+
+func (n *ownedNode) process() *proc.Process {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.p
+}
+
+// kill ends its process at once.
+func (n *ownedNode) kill() error {
+	p := n.process()
+	err := p.Signal(syscall.SIGKILL)
+	<-p.Done()
+	return err
+}
+
+func (n *ownedNode) ping() bool {
+	nc, err := net.DialTimeout("tcp", n.addr(), 200*time.Millisecond)
+	if err != nil {
+		return false
+	}
+	defer nc.Close()
+	nc.SetDeadline(time.Now().Add(time.Second))
+	if _, err := io.WriteString(nc, "*1\r\n$4\r\nPING\r\n"); err != nil {
+		return false
+	}
+	line, err := bufio.NewReader(nc).ReadString('\n')
+	return err == nil && line == "+PONG\r\n"
+}
+
+// ready asks the operators' address, and tells what it says otherwise.
+func (n *ownedNode) ready(ctx context.Context) (bool, string) {
+	ctx, cancel := context.WithTimeout(ctx, opWait)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.admin()+"/-/ready", nil)
+	if err != nil {
+		return false, err.Error()
+	}
+	resp, err := n.t.asking.Do(req)
+	if err != nil {
+		return false, err.Error()
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, 1<<10))
+	return err == nil && resp.StatusCode == http.StatusOK, strings.TrimSpace(string(raw))
+}
+
+// list is the list that the node keeps in its folder.
+func (n *ownedNode) list() (map[string]catalog.Endpoint, error) {
+	raw, err := os.ReadFile(filepath.Join(n.dir, "state", "share", "list.json"))
+	if err != nil {
+		return nil, err
+	}
+	var l catalog.List
+	if err := json.Unmarshal(raw, &l); err != nil {
+		return nil, err
+	}
+	return listed(l), nil
+}
+
+func (n *ownedNode) close() {
+	for _, f := range n.fronts {
+		f.close()
+	}
+	n.log.Close()
+}
+
+// handIn hands a message in, on a connection of its own, and waits for the answer.
+func (n *ownedNode) handIn(id string, class, dest int, left time.Duration) (state string, wait time.Duration, why string) {
+	words := fmt.Sprintf("c=%s,t=m,d=%d,dest=%d", classNames[class], left.Milliseconds(), dest)
+	if class == classKeyed {
+		words += ",k=" + id
+	}
+	nc, err := net.DialTimeout("tcp", n.addr(), time.Second)
+	if err != nil {
+		return history.Unsent, 0, ""
+	}
+	defer nc.Close()
+	nc.SetDeadline(time.Now().Add(clientWait))
+	var b strings.Builder
+	b.WriteString("*5\r\n")
+	for _, w := range []string{"ENQUEUE", strings.Repeat("0", 16), id, words, "x"} {
+		fmt.Fprintf(&b, "$%d\r\n%s\r\n", len(w), w)
+	}
+	if _, err := io.WriteString(nc, b.String()); err != nil {
+		return history.Broken, 0, ""
+	}
+	line, err := bufio.NewReader(nc).ReadString('\n')
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return history.Unheard, 0, ""
+	case err != nil:
+		return history.Broken, 0, ""
+	}
+	line = strings.TrimRight(line, "\r\n")
+	switch {
+	case strings.HasPrefix(line, "+"):
+		return history.Taken, 0, ""
+	case line == "-BUSY" || strings.HasPrefix(line, "-BUSY "):
+		ms, _ := strconv.ParseInt(strings.TrimPrefix(strings.TrimPrefix(line, "-BUSY"), " "), 10, 64) // none told: 0
+		return history.Refused, time.Duration(ms) * time.Millisecond, ""
+	}
+	return history.Failed, 0, strings.TrimPrefix(line, "-ERR ")
+}
--- /dev/null
+++ b/internal/lab/trial/ownership_partner.go
@@ -0,0 +1,65 @@
+package trial
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// partners serve all endpoints, each at an address of its own, and note what runs. The stand-ins of the experiments have models,
+// limits and links for each node: none of it matters to who owns a destination.
+type partners struct {
+	t   *ownershipTrial
+	srv *http.Server
+	wg  sync.WaitGroup
+	at  []string // addresses, by number
+}
+
+func (t *ownershipTrial) openPartners(count int) (*partners, error) {
+	p := &partners{t: t}
+	p.srv = &http.Server{Handler: http.HandlerFunc(p.serve), ReadHeaderTimeout: 30 * time.Second, IdleTimeout: 10 * time.Second}
+	for i := range count {
+		ln, err := net.Listen("tcp", fmt.Sprintf("%s:%d", t.block.IP(partnerHost, i+1), partnerPort))
+		if err != nil {
+			p.close()
+			return nil, fmt.Errorf("partner: %w", err)
+		}
+		p.at = append(p.at, ln.Addr().String())
+		p.wg.Go(func() {
+			if err := p.srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+				t.own.Log.Error("partner", "err", err)
+			}
+		})
+	}
+	return p, nil
+}
+
+func (p *partners) close() {
+	p.srv.Close()
+	p.wg.Wait()
+}
+
+// serve takes a message, holds its answer if its ID asks for that, and says yes.
+func (p *partners) serve(w http.ResponseWriter, req *http.Request) {
+	if req.Method != http.MethodPost {
+		return // a probe of its health
+	}
+	if _, err := io.Copy(io.Discard, req.Body); err != nil {
+		return
+	}
+	id := req.Header.Get("X-Trace-Id")
+	p.t.ended(id, RanThere)
+	hold := time.NewTimer(p.t.hold(id))
+	defer hold.Stop()
+	select {
+	case <-hold.C:
+	case <-req.Context().Done():
+		return
+	}
+	p.t.ended(id, AnsweredOK)
+	io.WriteString(w, "ok\n")
+}
