Directory, registry: tests of lists by partition with replicas in process and an older one beside

Where nobody can part the list the client asks in pauses of 2.5 to 5 s, and one such replica is no delay.

--- a/internal/directory/operator.go
+++ b/internal/directory/operator.go
@@ -56,6 +56,8 @@
 		return catalog.ErrTaken
 	case r.Code == http.StatusBadRequest:
 		return catalog.ErrBad
+	case r.Code == http.StatusInsufficientStorage: // asking again makes no room
+		return catalog.ErrFull
 	}
 	return ErrRefused
 }
--- /dev/null
+++ b/internal/directory/parts_test.go
@@ -0,0 +1,807 @@
+package directory
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"maps"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"net/url"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/raft"
+	"pgregory.net/rapid"
+
+	"starlingusher/fleet/catalog"
+	"starlingusher/fleet/ownership"
+	"starlingusher/internal/registry"
+)
+
+func of(id string, cell int) catalog.Endpoint {
+	e := endpoint(id, catalog.Serving)
+	e.Cell = cell
+	return e
+}
+
+func gone(e catalog.Endpoint) catalog.Endpoint { e.Phase = catalog.Deleted; return e }
+
+func setOf(cells ...int) *ownership.Set {
+	var s ownership.Set
+	for _, c := range cells {
+		s.Add(ownership.PartitionOf(c))
+	}
+	return &s
+}
+
+// get reads an answer whole.
+func get(t *testing.T, o *one, query string) (int, http.Header, string) {
+	t.Helper()
+	resp, err := http.Get("http://" + o.cfg.HTTP + "/registry/instances" + query)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, resp.Header, string(raw)
+}
+
+// rawLines reads a watch's lines as they are, the empty ones too.
+func rawLines(t *testing.T, o *one, query string) (http.Header, <-chan string, func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+o.cfg.HTTP+"/registry/instances?watch=1"+query, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		t.Fatalf("watch%s: %s", query, resp.Status)
+	}
+	out, done := make(chan string, 1000), make(chan struct{})
+	go func() {
+		defer close(done)
+		defer close(out)
+		defer resp.Body.Close()
+		r := bufio.NewReader(resp.Body)
+		for {
+			l, err := r.ReadString('\n')
+			if err != nil {
+				return
+			}
+			out <- l
+		}
+	}()
+	return resp.Header, out, func() { cancel(); <-done }
+}
+
+var firstMap = sync.OnceValues(func() (*ownership.Map, error) {
+	return ownership.Make(1, 2, []ownership.Member{{Name: "n1", Zone: "a", Weight: 1}, {Name: "n2", Zone: "b", Weight: 1}}, nil)
+})
+
+func aMap(t testing.TB, number int64) []byte {
+	t.Helper()
+	first, err := firstMap()
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := *first
+	m.Number = number
+	raw, err := m.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return raw
+}
+
+// putMap writes the record of the map as its only writer does.
+func putMap(t *testing.T, o *one, number int64) error {
+	t.Helper()
+	op := o.operator()
+	var w Written
+	if err := op.into(t.Context(), &w, http.MethodPut, "/records/"+ownership.Record, "", holdAsk{Holder: "w"}); err != nil {
+		t.Fatal(err)
+	}
+	err := op.into(t.Context(), nil, http.MethodPost, "/records/"+ownership.Record, "", holdAsk{Token: w.Token, Value: aMap(t, number)})
+	if err2 := op.into(t.Context(), nil, http.MethodDelete, "/records/"+ownership.Record, "", holdAsk{Token: w.Token}); err2 != nil {
+		t.Fatal(err2)
+	}
+	return err
+}
+
+// Who asks for no partitions gets what it got before there were any, whatever the map.
+func TestWholeListIsAsBefore(t *testing.T) {
+	o := replicas(t, 1, nil)[0]
+	a, b := of("a", 1), of("b", 2)
+	put(t, o, "*", a, b)
+	const one = `{"id":%q,"host_port":"10.0.0.1:80","locality":"a","flavor":"k","cell":%d,"phase":%q,"size":1,"up_since_ms":0}`
+	whole := `{"revision":1,"complete":true,"members":[` + fmt.Sprintf(one, "a", 1, "SERVING") + `,` + fmt.Sprintf(one, "b", 2, "SERVING") + "]}\n"
+	head, news, end := rawLines(t, o, "&after=0")
+	defer end()
+	if l := <-news; l != whole {
+		t.Errorf("first: %s", l)
+	}
+	if err := putMap(t, o, 3); err != nil {
+		t.Fatal(err)
+	}
+	put(t, o, "*", gone(b))
+	change := `{"revision":2,"complete":false,"members":[` + fmt.Sprintf(one, "b", 2, "DELETED") + "]}\n"
+	if l := <-news; l != change {
+		t.Errorf("then: %s", l)
+	}
+	if l := <-news; l != "\n" {
+		t.Errorf("as nothing changes: %q", l)
+	}
+	_, header, body := get(t, o, "?after=1")
+	if body != change {
+		t.Errorf("since 1: %s", body)
+	}
+	for h, more := range map[*http.Header]string{&head: "", &header: "Content-Length "} {
+		names := slices.Sorted(maps.Keys(*h))
+		if got, want := strings.Join(names, " "), more+"Content-Type Date Etag Registry-Age-Ms Registry-History Registry-Revision"; got != want {
+			t.Errorf("headers %s", got)
+		}
+	}
+}
+
+func TestWatchOfPartitions(t *testing.T) {
+	o := replicas(t, 1, nil)[0]
+	put(t, o, "*", of("a", 1), of("b", 2), of("c", 3))
+	head, news, end := rawLines(t, o, "&after=0&partitions="+setOf(1, 2).String())
+	defer end()
+	next := func() (l catalog.List) {
+		t.Helper()
+		raw, ok := <-news
+		if !ok {
+			t.Fatal("the watch has ended")
+		}
+		if raw == "\n" {
+			return l
+		}
+		if err := json.Unmarshal([]byte(raw), &l); err != nil {
+			t.Fatal(err)
+		}
+		if again, err := json.Marshal(l); err != nil || string(again)+"\n" != raw {
+			t.Errorf("%s is not as a list is encoded, %s", raw, again)
+		}
+		return l
+	}
+	want := func(what string, revision, number int64, members ...catalog.Endpoint) {
+		t.Helper()
+		l := next()
+		for l.Revision == 0 { // empty lines, on a slow machine
+			l = next()
+		}
+		if l.Complete != (revision == 1) || l.Revision != revision || l.Map != number || !slices.Equal(l.Members, members) {
+			t.Errorf("%s: %+v", what, l)
+		}
+	}
+	if head.Get(HeaderPartitions) != "4096" || head.Get(HeaderMap) != "0" || head.Get("ETag") != "" {
+		t.Errorf("headers %v", head)
+	}
+	want("first", 1, 0, of("a", 1), of("b", 2))
+	put(t, o, "*", of("d", 2))
+	want("a change", 2, 0, of("d", 2))
+	put(t, o, "*", of("e", 3)) // nobody's here
+	put(t, o, "*", of("f", 4))
+	want("carried on", 4, 0)
+	if l := next(); l.Revision != 0 {
+		t.Errorf("once it was carried on: %+v", l)
+	}
+	if err := putMap(t, o, 7); err != nil {
+		t.Fatal(err)
+	}
+	want("a map", 4, 7)
+	put(t, o, "*", of("a", 2), of("b", 3), of("c", 4), of("e", 1)) // within, out, elsewhere, in
+	l := next()
+	slices.SortFunc(l.Members, func(a, b catalog.Endpoint) int { return strings.Compare(a.ID, b.ID) })
+	if l.Revision != 5 || l.Map != 7 || !slices.Equal(l.Members, []catalog.Endpoint{of("a", 2), gone(of("b", 2)), of("e", 1)}) {
+		t.Errorf("moves: %+v", l)
+	}
+	put(t, o, "*", gone(of("a", 2)))
+	want("a deletion", 6, 7, gone(of("a", 2)))
+
+	resumed, header, body := get(t, o, "?after=4&partitions="+setOf(1, 2).String())
+	if err := json.Unmarshal([]byte(body), &l); err != nil || resumed != 200 || header.Get(HeaderMap) != "7" || header.Get("ETag") != "" ||
+		l.Complete || l.Revision != 6 || l.Map != 7 || len(l.Members) != 3 {
+		t.Errorf("since 4: %d, %v, %s", resumed, header, body)
+	}
+	o.stop()
+	o.start()
+	eventually(t, "the leader", o.r.settled)
+	head, again, end2 := rawLines(t, o, "&after=5&partitions="+setOf(1, 2).String())
+	defer end2()
+	if l := <-again; head.Get(HeaderMap) != "7" || !strings.HasPrefix(l, `{"revision":6,"complete":false,`) || !strings.HasSuffix(l, `"DELETED","size":1,"up_since_ms":0}],"map":7}`+"\n") {
+		t.Errorf("after a restart: %v, %s", head, l)
+	}
+}
+
+func TestPartitionsThatAreNone(t *testing.T) {
+	o := replicas(t, 1, nil)[0]
+	put(t, o, "*", of("a", 1))
+	for _, q := range []string{"", "x", "4096", "-1", "1,1", "2,1", "1-", "5-4", "1,,2", "1&partitions=2", "%20"} {
+		for _, watch := range []string{"", "&watch=1"} {
+			code, _, body := get(t, o, "?partitions="+q+watch)
+			if code != http.StatusBadRequest || strings.Count(body, "\n") != 1 {
+				t.Errorf("partitions=%s%s: %d %s", q, watch, code, body)
+			}
+		}
+	}
+	code, _, body := get(t, o, "?partitions=0-4095")
+	if l := (catalog.List{}); code != 200 || json.Unmarshal([]byte(body), &l) != nil || len(l.Members) != 1 {
+		t.Errorf("all of them: %d %s", code, body)
+	}
+}
+
+// olderFront stands in for a replica of an older build: it knows neither the parameter nor the headers.
+func olderFront(t *testing.T, o *one) *httptest.Server {
+	p := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: o.cfg.HTTP})
+	p.FlushInterval, p.ErrorLog = -1, slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)
+	direct := p.Director
+	p.Director = func(req *http.Request) {
+		direct(req)
+		q := req.URL.Query()
+		q.Del("partitions")
+		req.URL.RawQuery = q.Encode()
+	}
+	p.ModifyResponse = func(resp *http.Response) error {
+		resp.Header.Del(HeaderPartitions)
+		resp.Header.Del(HeaderMap)
+		return nil
+	}
+	s := httptest.NewServer(p)
+	t.Cleanup(s.Close)
+	return s
+}
+
+// A client of some partitions has exactly their list while replicas stop, start, take snapshots and send them, and one of them is older.
+func TestClientOfPartitionsOutlivesReplicas(t *testing.T) {
+	all := replicas(t, 3, func(c *Config) {
+		c.Snapshot.Every, c.Snapshot.Trailing, c.Snapshot.Interval.Duration = 5, 5, 50*time.Millisecond
+	})
+	put(t, all[0], "*", of("e0", 0), of("e1", 1))
+	set := setOf(0, 1, 2)
+	var lines sync.Mutex
+	var logged bytes.Buffer
+	w := registry.Watcher{
+		Nodes: 1, Client: http.DefaultClient, Track: registry.NewTrack(registry.Position{}), Partitions: set,
+		Log: slog.New(slog.NewTextHandler(&locked{w: &logged, mu: &lines}, nil)),
+	}
+	for _, o := range all[1:] {
+		w.Addresses = append(w.Addresses, o.cfg.HTTP)
+	}
+	w.Addresses = append(w.Addresses, olderFront(t, all[0]).Listener.Addr().String())
+	var mu sync.Mutex
+	have, last, number := map[string]catalog.Endpoint{}, int64(0), int64(0)
+	ctx, cancel := context.WithCancel(t.Context())
+	var watch sync.WaitGroup
+	watch.Go(func() {
+		w.Watch(ctx, func(n registry.News) error {
+			mu.Lock()
+			defer mu.Unlock()
+			if n.Complete {
+				clear(have)
+			}
+			for _, m := range n.Members {
+				if !set.Has(ownership.PartitionOf(m.Cell)) {
+					t.Errorf("%+v is of no partition of its own", m)
+				}
+				if have[m.ID] = m; m.Phase == catalog.Deleted {
+					delete(have, m.ID)
+				}
+			}
+			if n.Revision < last {
+				t.Errorf("revision %d after %d", n.Revision, last)
+			}
+			last, number = n.Revision, max(number, n.Map)
+			return nil
+		})
+	})
+	defer func() { cancel(); watch.Wait() }()
+	same := func(o *one, what string) {
+		t.Helper()
+		eventually(t, what, func() bool {
+			var want catalog.List
+			o.r.ledger.read(func(s *catalog.State) { want = s.Part(*set) })
+			mu.Lock()
+			defer mu.Unlock()
+			if last != want.Revision || len(have) != len(want.Members) {
+				return false
+			}
+			for _, m := range want.Members {
+				if have[m.ID] != m {
+					return false
+				}
+			}
+			return true
+		})
+	}
+	for i := range 30 {
+		put(t, all[i%3], "*", of(fmt.Sprint("e", i%7), i%5))
+	}
+	same(all[0], "the list after writes")
+	if err := putMap(t, all[0], 5); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the map's number", func() bool { mu.Lock(); defer mu.Unlock(); return number == 5 })
+	for _, down := range []*one{all[1], all[2]} {
+		down.stop()
+		for i := range 20 {
+			put(t, all[0], "*", of(fmt.Sprint("e", i%7), (i*3+1)%5))
+		}
+		if _, err := all[0].operator().Drain(t.Context(), "e3"); err != nil {
+			t.Fatal(err)
+		}
+		down.start()
+		eventually(t, "the replica", func() bool { return down.s.statusNow(false).Revision == all[0].s.statusNow(false).Revision })
+		same(all[0], "the list with "+down.cfg.ID+" down")
+	}
+	if st := all[1].s.statusNow(false); st.Map != 5 || st.MapWrong != "" {
+		t.Errorf("the map after a restart: %+v", st)
+	}
+	for _, o := range all { // each by itself
+		m, err := registry.FetchMap(t.Context(), http.DefaultClient, []string{o.cfg.HTTP}, 5)
+		if err != nil || m.Number != 5 {
+			t.Errorf("the map at %s: %v", o.cfg.ID, err)
+		}
+	}
+	lines.Lock()
+	defer lines.Unlock()
+	if n := strings.Count(logged.String(), "would send the whole list"); n > 1 {
+		t.Errorf("the older replica was logged %d times: %s", n, logged.String())
+	}
+}
+
+type locked struct {
+	w  io.Writer
+	mu *sync.Mutex
+}
+
+func (l *locked) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.w.Write(p)
+}
+
+// All replicas are older: nothing is taken, and it is logged once for each.
+func TestClientOfPartitionsTakesNothingFromOlderReplicas(t *testing.T) {
+	o := replicas(t, 1, nil)[0]
+	put(t, o, "*", of("a", 1))
+	var mu sync.Mutex
+	var logged bytes.Buffer
+	front := olderFront(t, o)
+	asks := make(chan string, 1000)
+	counted := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		asks <- req.URL.RawQuery
+		front.Config.Handler.ServeHTTP(w, req)
+	}))
+	t.Cleanup(counted.Close)
+	w := registry.Watcher{
+		Addresses: []string{counted.Listener.Addr().String(), front.Listener.Addr().String()}, Nodes: 1, Client: http.DefaultClient,
+		Track: registry.NewTrack(registry.Position{}), Partitions: setOf(1), Log: slog.New(slog.NewTextHandler(&locked{w: &logged, mu: &mu}, nil)),
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var watch sync.WaitGroup
+	watch.Go(func() {
+		w.Watch(ctx, func(n registry.News) error {
+			t.Errorf("taken: %+v", n)
+			return nil
+		})
+	})
+	for range 2 {
+		if q := <-asks; !strings.Contains(q, "after=0") || !strings.Contains(q, "partitions=") {
+			t.Errorf("asked %s", q)
+		}
+	}
+	cancel()
+	watch.Wait()
+	if n := strings.Count(logged.String(), "would send the whole list"); n != 2 {
+		t.Errorf("logged %d times, two servers: %s", n, logged.String())
+	}
+}
+
+func TestMapOfPartitionsAtTheDoor(t *testing.T) {
+	o := replicas(t, 1, func(c *Config) { c.Snapshot.Every, c.Snapshot.Interval.Duration = 1, 20*time.Millisecond })[0]
+	op := o.operator()
+	put(t, o, "*", of("a", 1))
+	record := "/records/" + ownership.Record
+	bad := func(method string, ask holdAsk, what string) {
+		t.Helper()
+		var no *Refusal
+		if err := op.into(t.Context(), nil, method, record, "", ask); !errors.As(err, &no) || no.Code != http.StatusBadRequest || no.Outcome != "refused" {
+			t.Errorf("%s: %v", what, err)
+		}
+	}
+	bad(http.MethodPut, holdAsk{Holder: "w", Value: []byte("no map")}, "no map, with the acquisition")
+	if err := putMap(t, o, 5); err != nil {
+		t.Fatal(err)
+	}
+	var w Written
+	if err := op.into(t.Context(), &w, http.MethodPut, record, "", holdAsk{Holder: "w"}); err != nil {
+		t.Fatal(err)
+	}
+	bad(http.MethodPut, holdAsk{Holder: "w", Value: aMap(t, 5)}, "the same number, with the acquisition")
+	bad(http.MethodPost, holdAsk{Token: w.Token}, "nothing")
+	bad(http.MethodPost, holdAsk{Token: w.Token, Value: []byte("no map")}, "no map")
+	bad(http.MethodPost, holdAsk{Token: w.Token, Value: aMap(t, 5)}, "the same number")
+	bad(http.MethodPost, holdAsk{Token: w.Token, Value: aMap(t, 4)}, "a smaller number")
+	half := aMap(t, 6)
+	bad(http.MethodPost, holdAsk{Token: w.Token, Value: half[:len(half)/2]}, "half a map")
+	if err := op.into(t.Context(), nil, http.MethodPost, record, "", holdAsk{Token: w.Token - 1, Value: aMap(t, 6)}); !errors.Is(err, catalog.ErrTaken) {
+		t.Errorf("an old token: %v", err)
+	}
+	if err := op.into(t.Context(), nil, http.MethodPost, "/records/other", "", holdAsk{Token: 1, Value: []byte("no map")}); !errors.Is(err, catalog.ErrUnknown) {
+		t.Errorf("another record: %v", err)
+	}
+	if st := o.s.statusNow(false); st.Map != 5 || st.MapWrong != "" {
+		t.Errorf("status %+v", st)
+	}
+	// Many at once: each number once.
+	var writes sync.WaitGroup
+	var mu sync.Mutex
+	done := 0
+	for range 8 {
+		writes.Go(func() {
+			op := o.operator()
+			err := op.into(context.Background(), nil, http.MethodPost, record, "", holdAsk{Token: w.Token, Value: aMap(t, 6)})
+			mu.Lock()
+			defer mu.Unlock()
+			if err == nil {
+				done++
+			}
+		})
+	}
+	if writes.Wait(); done != 1 {
+		t.Errorf("number 6 was given %d times", done)
+	}
+
+	// An older leader takes anything. The map stays in force, and everyone is told.
+	past := func(value []byte, why string) {
+		t.Helper()
+		res, err := o.r.propose(catalog.Command{Update: &catalog.Hold{Name: ownership.Record, Token: w.Token, Value: value}})
+		if err := errors.Join(err, res.Err); err != nil {
+			t.Fatal(err)
+		}
+		if st := o.s.statusNow(false); st.Map != 6 || !strings.Contains(st.MapWrong, why) || why == "" {
+			t.Errorf("%s: status %d, %q", why, st.Map, st.MapWrong)
+		}
+	}
+	past(aMap(t, 3), "3 after 6")
+	past(nil, " ")
+	past([]byte("no map"), " ")
+	raw, _, err := op.Do(t.Context(), http.MethodGet, "/metrics", "", nil)
+	if err != nil || !strings.Contains(string(raw), "\ndirectory_map_number 6\n") || !strings.Contains(string(raw), "\ndirectory_map_wrong 1\n") {
+		t.Errorf("figures: %v", err)
+	}
+	if _, err := registry.FetchMap(t.Context(), http.DefaultClient, []string{o.cfg.HTTP}, 0); err == nil {
+		t.Error("what is no map was fetched")
+	}
+	if err := op.into(t.Context(), nil, http.MethodPost, record, "", holdAsk{Token: w.Token, Value: aMap(t, 7)}); err != nil {
+		t.Error(err)
+	}
+	o.stop()
+	o.start()
+	eventually(t, "the leader", o.r.settled)
+	if st := o.s.statusNow(false); st.Map != 7 || st.MapWrong != "" {
+		t.Errorf("after a restart: %+v", st)
+	}
+	bad(http.MethodPost, holdAsk{Token: w.Token, Value: aMap(t, 7)}, "the same number after a restart")
+
+	saved, _, err := op.Backup(t.Context(), true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := op.into(t.Context(), nil, http.MethodPost, record, "", holdAsk{Token: w.Token, Value: aMap(t, 9)}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := op.Restore(t.Context(), saved); err != nil {
+		t.Fatal(err)
+	}
+	if st := o.s.statusNow(false); st.Map != 7 || st.MapWrong != "" {
+		t.Errorf("after a restore: %+v", st)
+	}
+}
+
+func TestListsBoundAtTheDoor(t *testing.T) {
+	o := replicas(t, 1, func(c *Config) { c.List.Most = 3 })[0]
+	op := o.operator()
+	full := func(err error, what string) {
+		t.Helper()
+		var no *Refusal
+		if !errors.As(err, &no) || no.Code != http.StatusInsufficientStorage || no.Outcome != "refused" || !errors.Is(err, catalog.ErrFull) {
+			t.Errorf("%s: %v", what, err)
+		}
+	}
+	put(t, o, "*", of("a", 1), of("b", 2), of("c", 3))
+	saved, _, err := op.Backup(t.Context(), true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	before := o.s.statusNow(false).Applied
+	_, err = op.Put(t.Context(), []catalog.Endpoint{of("d", 1)}, false, true, "*")
+	full(err, "one more")
+	_, err = op.Put(t.Context(), []catalog.Endpoint{of("a", 1), of("d", 1), of("e", 1), of("f", 1)}, true, true, "*")
+	full(err, "a whole list")
+	err = op.into(t.Context(), nil, http.MethodPut, "/registry/registrations/d", "", map[string]any{"member": of("d", 1), "ttl_ms": 1000})
+	full(err, "a registration")
+	if after := o.s.statusNow(false).Applied; after != before {
+		t.Errorf("what was refused was proposed: %d after %d", after, before)
+	}
+	put(t, o, "*", of("a", 9), gone(of("b", 2)))
+	put(t, o, "*", of("d", 1))
+	o.stop()
+	o.cfg.List.Most = 2
+	o.start()
+	eventually(t, "the leader", o.r.settled)
+	_, err = op.Restore(t.Context(), saved)
+	full(err, "a backup")
+	put(t, o, "*", gone(of("d", 1)))
+	for _, most := range []int{0, catalog.MaxMembers + 1} {
+		if c := o.cfg; true {
+			c.List.Most = most
+			if err := c.Check(); err == nil || !strings.Contains(err.Error(), "list.most") {
+				t.Errorf("list.most %d: %v", most, err)
+			}
+		}
+	}
+}
+
+// told feeds a ledger a command as Raft does.
+func told(t testing.TB, l *ledger, c catalog.Command) catalog.Result {
+	t.Helper()
+	raw, err := seal(commandMark, c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	res, ok := l.Apply(&raft.Log{Data: raw}).(catalog.Result)
+	if !ok || res.Err != nil {
+		t.Fatalf("%+v: %v", c, res.Err)
+	}
+	return res
+}
+
+func newTold(t testing.TB) *ledger {
+	l := newLedger(1<<20, func(err error) { t.Error(err) })
+	told(t, l, catalog.Command{At: 1, Found: &catalog.Found{}})
+	return l
+}
+
+func write(members ...catalog.Endpoint) catalog.Command {
+	return catalog.Command{Write: &catalog.Write{Base: catalog.Base{Any: true}, Members: members}}
+}
+
+// A change in one partition is encoded once for all who follow it, and costs those who don't nothing.
+func TestLinesOfPartitionsAreShared(t *testing.T) {
+	l := newTold(t)
+	told(t, l, write(of("a", 1), of("b", 1)))
+	line := l.lines[0].part
+	a, err := line.of(setOf(1, 2))
+	b, err2 := line.of(setOf(1, 3))
+	if err := errors.Join(err, err2); err != nil || len(a) == 0 || &a[0] != &b[0] {
+		t.Errorf("%s and %s are not the same bytes: %v", a, b, err)
+	}
+	mine, others := setOf(1), setOf(2, 3, 4)
+	if n := testing.AllocsPerRun(100, func() { line.of(mine) }); n > 0 {
+		t.Errorf("a line that is there costs %v allocations", n)
+	}
+	told(t, l, write(of("a", 5), of("b", 6)))
+	line = l.lines[1].part
+	if out, err := line.of(others); out != nil || err != nil {
+		t.Errorf("%s, %v", out, err)
+	}
+	if n := testing.AllocsPerRun(100, func() { line.of(others) }); n > 0 {
+		t.Errorf("a line for others costs %v allocations", n)
+	}
+	for _, p := range line.pieces {
+		if p.body != nil {
+			t.Errorf("partition %d was encoded though nobody follows it", p.Partition)
+		}
+	}
+}
+
+// What watches of partitions are sent is what the pure state says of them, byte for byte as a list is encoded, whatever is
+// written, by whatever map; over snapshots that come while they watch. With one line left out the checker finds it.
+func TestLinesOfPartitionsAreTheList(t *testing.T) {
+	for _, fault := range []bool{false, true} {
+		found := 0
+		rapid.Check(t, func(rt *rapid.T) {
+			l := newTold(t)
+			set := setOf(rapid.SliceOfN(rapid.IntRange(0, 5), 1, 4).Draw(rt, "set")...)
+			leave := rapid.IntRange(0, 3).Draw(rt, "left out")
+			have := map[string]catalog.Endpoint{}
+			at, _ := l.at()
+			number := int64(0)
+			for range 30 {
+				switch rapid.IntRange(0, 7).Draw(rt, "command") {
+				case 0:
+					number++
+					told(t, l, catalog.Command{Acquire: &catalog.Hold{Name: ownership.Record, Holder: "w", Value: aMap(t, number), SetsVal: true}})
+				case 1: // another replica's snapshot
+					other := newTold(t)
+					raw, err := EncodeBackup(l.state.Image())
+					if err == nil {
+						err = other.Restore(io.NopCloser(bytes.NewReader(raw)))
+					}
+					if err != nil {
+						rt.Fatal(err)
+					}
+					told(t, other, write(of("s", rapid.IntRange(0, 5).Draw(rt, "cell"))))
+					if raw, err = EncodeBackup(other.state.Image()); err == nil {
+						err = l.Restore(io.NopCloser(bytes.NewReader(raw)))
+					}
+					if err != nil {
+						rt.Fatal(err)
+					}
+				default:
+					var all []catalog.Endpoint
+					for _, i := range rapid.SliceOfNDistinct(rapid.IntRange(0, 6), 0, 4, rapid.ID[int]).Draw(rt, "ids") {
+						e := of(fmt.Sprint("e<", i), rapid.IntRange(0, 5).Draw(rt, "cell"))
+						e.Phase = rapid.SampledFrom([]string{catalog.Serving, catalog.Draining, catalog.Deleted}).Draw(rt, "phase")
+						all = append(all, e)
+					}
+					told(t, l, write(all...))
+				}
+				lines, has, _, ok := l.since(at)
+				if !ok && at.revision > 0 {
+					rt.Fatalf("nothing is known since %+v", at)
+				}
+				if !ok { // a snapshot before the first write
+					lines = nil
+					raw, now, _, err := l.part(0, set)
+					var list catalog.List
+					if err := errors.Join(err, json.Unmarshal(raw, &list)); err != nil {
+						rt.Fatal(err)
+					}
+					for at = now; len(list.Members) > 0; list.Members = list.Members[1:] {
+						have[list.Members[0].ID] = list.Members[0]
+					}
+				}
+				if has != number && ok {
+					rt.Fatalf("the map is %d, told is %d", number, has)
+				}
+				for _, one := range lines {
+					raw, err := one.part.of(set)
+					if err != nil {
+						rt.Fatal(err)
+					}
+					at.revision = one.revision
+					if raw == nil {
+						continue
+					}
+					var list catalog.List
+					if err := json.Unmarshal(raw, &list); err != nil || len(list.Members) == 0 {
+						rt.Fatalf("%s: %v", raw, err)
+					}
+					if again, err := json.Marshal(list); err != nil || string(again)+"\n" != string(raw) || list.Map != one.part.number {
+						rt.Fatalf("%s is not as a list is encoded: %s, %v", raw, again, err)
+					}
+					was := maps.Clone(have)
+					for _, m := range list.Members {
+						if have[m.ID] = m; m.Phase == catalog.Deleted {
+							delete(have, m.ID)
+						}
+					}
+					if fault && !maps.Equal(was, have) {
+						if leave--; leave == -1 {
+							have = was
+						}
+					}
+				}
+				want := map[string]catalog.Endpoint{}
+				for _, m := range l.state.Whole().Members {
+					if set.Has(ownership.PartitionOf(m.Cell)) {
+						want[m.ID] = m
+					}
+				}
+				if !maps.Equal(have, want) {
+					if fault && leave < 0 {
+						found++
+						return
+					}
+					rt.Fatalf("the watch has %v, the list %v", have, want)
+				}
+				if fault && leave < 0 {
+					rt.Fatal("a line was left out and not missed")
+				}
+			}
+		})
+		if fault && found < 50 {
+			t.Errorf("only %d breaches were tried", found)
+		}
+	}
+}
+
+// A change that came in an older build's snapshot does not tell who left a partition: the watch is cut, and the next ask gets all.
+func TestOlderSnapshotCutsWatchesOfPartitions(t *testing.T) {
+	l := newTold(t)
+	told(t, l, write(of("a", 1)))
+	at, _ := l.at()
+	other := newTold(t)
+	other.state = func() *catalog.State {
+		i := l.state.Image()
+		s, err := catalog.Load(i)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return s
+	}()
+	told(t, other, write(of("a", 2)))
+	image := other.state.Image()
+	for n := range image.Changes {
+		image.Changes[n].Moved = nil
+	}
+	raw, err := EncodeBackup(image)
+	if err == nil {
+		err = l.Restore(io.NopCloser(bytes.NewReader(raw)))
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines, _, _, ok := l.since(at)
+	if !ok || len(lines) != 1 {
+		t.Fatalf("lines since: %v, %v", lines, ok)
+	}
+	if _, err := lines[0].part.of(setOf(1)); !errors.Is(err, errPast) {
+		t.Errorf("told: %v", err)
+	}
+	body, _, _, err := l.part(at.revision, setOf(1))
+	if want := `{"revision":2,"complete":true,"members":[]}` + "\n"; err != nil || string(body) != want {
+		t.Errorf("the next ask gets %s, %v", body, err)
+	}
+}
+
+// BenchmarkChangeForWatches is one change of one endpoint, told to 820 watches of 15 partitions each, by the size of the list.
+func BenchmarkChangeForWatches(b *testing.B) {
+	for _, n := range []int{10_000, 100_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			l := newTold(b)
+			for first := 0; first < n; first += 10_000 {
+				var all []catalog.Endpoint
+				for i := first; i < first+10_000; i++ {
+					all = append(all, of(fmt.Sprint("e", i), i*10/17))
+				}
+				c := write(all...)
+				c.Write.Most = catalog.MaxMembers
+				told(b, l, c)
+			}
+			sets := make([]*ownership.Set, 820)
+			for i := range sets {
+				sets[i] = &ownership.Set{}
+				for k := range 15 {
+					sets[i].Add((i*15 + k) % ownership.Partitions)
+				}
+			}
+			c := write(of("e0", 1))
+			c.Write.Most = catalog.MaxMembers
+			b.ResetTimer()
+			for i := range b.N {
+				b.StopTimer()
+				c.Write.Members[0].UpSince = int64(i + 1)
+				told(b, l, c)
+				line := l.lines[len(l.lines)-1]
+				b.StartTimer()
+				for _, s := range sets {
+					if _, err := line.part.of(s); err != nil {
+						b.Fatal(err)
+					}
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/registry/ownership_test.go
@@ -0,0 +1,280 @@
+package registry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"starlingusher/fleet/catalog"
+	"starlingusher/fleet/ownership"
+)
+
+func someSet() *ownership.Set {
+	var s ownership.Set
+	for _, p := range []int{3, 17, 40, 41, 42} {
+		s.Add(p)
+	}
+	return &s
+}
+
+// said is an answer of a server; what follows its body is silence, or the end.
+func said(code int, head map[string]string, body string) *http.Response {
+	h := http.Header{}
+	for k, v := range head {
+		h.Set(k, v)
+	}
+	return &http.Response{StatusCode: code, Status: fmt.Sprint(code), Header: h, Body: io.NopCloser(strings.NewReader(body))}
+}
+
+// Who follows the whole list asks as before there were partitions, to the byte, and a header more or less changes nothing.
+func TestAskForTheWholeListIsAsBefore(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		at   Position
+		want string
+	}{
+		{Position{}, "http://a:1/registry/instances?watch=1&after=0"},
+		{Position{0, 8, "a:1"}, "http://a:1/registry/instances?watch=1&after=8"},
+		{Position{0, 8, "b:1"}, "http://a:1/registry/instances?watch=1&after=0"},
+		{Position{3, 8, "b:1"}, "http://a:1/registry/instances?watch=1&after=8&history=3"},
+	} {
+		ctx, cancel := context.WithCancel(t.Context())
+		w := Watcher{Addresses: []string{"a:1"}, Nodes: 1, Log: slog.New(slog.DiscardHandler), Track: NewTrack(c.at)}
+		w.Client = &http.Client{Transport: roundTrip(func(req *http.Request) (*http.Response, error) {
+			if req.Method != http.MethodGet || req.URL.String() != c.want || len(req.Header) > 0 || req.Body != nil {
+				t.Errorf("asked %s %s %v", req.Method, req.URL, req.Header)
+			}
+			return said(200, nil, `{"revision":9,"complete":false,"members":[]}`), nil
+		})}
+		told := false
+		w.Watch(ctx, func(n News) error {
+			told = n.Revision == 9 && n.Map == 0
+			cancel()
+			return nil
+		})
+		if !told {
+			t.Errorf("after %v nothing was told", c.at)
+		}
+	}
+}
+
+// The first ask of a call is for all there is in the partitions, the later ones go on from there; what was not taken is asked for
+// whole again, and so is what comes in part.
+func TestWatchOfPartitionsBeginsWhole(t *testing.T) {
+	t.Parallel()
+	head := map[string]string{"Registry-History": "3", "Registry-Partitions": "4096", "Registry-Map": "6"}
+	changes := `{"revision":9,"complete":false,"members":[],"map":6}`
+	whole := func(rev int) string { return fmt.Sprintf(`{"revision":%d,"complete":true,"members":[],"map":6}`, rev) }
+	ctx, cancel := context.WithCancel(t.Context())
+	const set = "&history=3&partitions=3,17,40-42"
+	script := []struct{ ask, answer string }{
+		{"after=0" + set, changes}, // which it can't be
+		{"after=0" + set, whole(9)},
+		{"after=9" + set, strings.Replace(changes, ":9", ":10", 1)},
+		{"after=10" + set, strings.Replace(changes, ":9", ":11", 1)}, // not taken
+		{"after=0" + set, whole(11)},
+		{"after=11" + set, whole(12)},
+	}
+	asks := 0
+	w := Watcher{Addresses: []string{"a:1"}, Nodes: 1, Log: slog.New(slog.DiscardHandler), Track: NewTrack(Position{3, 8, "b:1"}), Partitions: someSet()}
+	w.Client = &http.Client{Transport: roundTrip(func(req *http.Request) (*http.Response, error) {
+		if asks >= len(script) {
+			return nil, errors.New("no more")
+		}
+		if got := strings.TrimPrefix(req.URL.String(), "http://a:1/registry/instances?watch=1&"); got != script[asks].ask {
+			t.Errorf("ask %d is %s, not %s", asks, got, script[asks].ask)
+		}
+		asks++
+		return said(200, head, script[asks-1].answer), nil
+	})}
+	w.Watch(ctx, func(n News) error {
+		if n.Map != 6 {
+			t.Errorf("the map is %d", n.Map)
+		}
+		switch {
+		case n.Revision == 11 && !n.Complete:
+			return errors.New("no room")
+		case n.Revision == 12:
+			cancel()
+		}
+		return nil
+	})
+	if asks != len(script) {
+		t.Errorf("%d asks", asks)
+	}
+}
+
+// What is not proved to be of the partitions is not taken, whoever sends it, and the next address is asked at once; with nobody able
+// the asks are far apart.
+func TestWholeListIsNotTakenForAPart(t *testing.T) {
+	t.Parallel()
+	list := `{"revision":9,"complete":true,"members":[{"id":"e1","host_port":"h:1","locality":"a","flavor":"k","cell":3,"phase":"SERVING","size":1}]}`
+	for _, by := range []string{"", "2048", "04096", "4096, 4096", "x"} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			var logged strings.Builder
+			w := Watcher{Addresses: []string{"a:1", "b:1", "c:1"}, Nodes: 820, Log: slog.New(slog.NewTextHandler(&logged, nil)), Track: NewTrack(Position{}), Partitions: someSet()}
+			upgraded, began := time.Hour, time.Now()
+			asks := 0
+			w.Client = &http.Client{Transport: roundTrip(func(req *http.Request) (*http.Response, error) {
+				asks++
+				head := map[string]string{"Registry-History": "3", "Registry-Partitions": by}
+				if req.URL.Host == "c:1" && time.Since(began) > upgraded {
+					head["Registry-Partitions"] = "4096"
+				}
+				if time.Since(began) > time.Minute {
+					upgraded = 0
+				}
+				return said(200, head, list), nil
+			})}
+			w.Watch(ctx, func(n News) error {
+				if n.From != "c:1" {
+					t.Errorf("taken from %s", n.From)
+				}
+				cancel()
+				return nil
+			})
+			if most := 3 * (int(time.Minute/(nextRefusal/2)) + 3); asks < 36 || asks > most {
+				t.Errorf("%d asks in a minute, %d at most", asks, most)
+			}
+			if n := strings.Count(logged.String(), "would send the whole list"); n != 3 {
+				t.Errorf("logged %d times: %s", n, logged.String())
+			}
+			if err := w.once(t.Context(), "a:1", 0, 0, nil); !errors.Is(err, ErrCannotPart) {
+				t.Errorf("%q: %v", by, err)
+			}
+		})
+	}
+}
+
+// One replica that can't part the list is no delay where another one can.
+func TestOneUnableReplicaIsNoDelay(t *testing.T) {
+	t.Parallel()
+	for range 20 { // the first one asked is left to chance
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			w := Watcher{Addresses: []string{"a:1", "b:1", "c:1"}, Nodes: 820, Log: slog.New(slog.DiscardHandler), Track: NewTrack(Position{}), Partitions: someSet()}
+			began := time.Now()
+			w.Client = &http.Client{Transport: roundTrip(func(req *http.Request) (*http.Response, error) {
+				switch req.URL.Host {
+				case "a:1":
+					return said(200, map[string]string{"Registry-History": "3"}, `{"revision":9,"complete":true,"members":[]}`), nil
+				case "b:1": // hangs
+					<-req.Context().Done()
+					return nil, req.Context().Err()
+				}
+				return said(200, map[string]string{"Registry-History": "3", "Registry-Partitions": "4096"}, `{"revision":9,"complete":true,"members":[]}`), nil
+			})}
+			w.Watch(ctx, func(n News) error { cancel(); return nil })
+			if took := time.Since(began); took > answerTime+3*firstBackoff {
+				t.Errorf("told after %v", took)
+			}
+		})
+	}
+}
+
+func record(t *testing.T, number int64) string {
+	t.Helper()
+	m, err := ownership.Make(number, 1, []ownership.Member{{Name: "n1", Zone: "a", Weight: 1}}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw, err := m.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := json.Marshal(catalog.Record{Name: ownership.Record, Value: raw})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(body)
+}
+
+// endless is an answer without end.
+type endless struct{}
+
+func (endless) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = ' '
+	}
+	return len(p), nil
+}
+
+// A map is fetched from whoever has it, in bounded time and bytes; else the error tells what came of each address.
+func TestFetchMap(t *testing.T) {
+	t.Parallel()
+	old, good := record(t, 4), record(t, 6)
+	servers := map[string]func(req *http.Request) (*http.Response, error){
+		"dead:1": func(*http.Request) (*http.Response, error) { return nil, errors.New("refused by a dead one") },
+		"hangs:1": func(req *http.Request) (*http.Response, error) {
+			<-req.Context().Done()
+			return nil, req.Context().Err()
+		},
+		"none:1": func(*http.Request) (*http.Response, error) { return said(404, nil, `{"error":"there is none"}`), nil },
+		"taken:1": func(*http.Request) (*http.Response, error) {
+			return said(200, nil, `{"name":"ownership.map","value":null}`), nil
+		},
+		"busy:1": func(*http.Request) (*http.Response, error) { return said(503, nil, ""), nil },
+		"odd:1":  func(*http.Request) (*http.Response, error) { return said(200, nil, `{"value":"bm8gbWFw"}`), nil },
+		"half:1": func(*http.Request) (*http.Response, error) { return said(200, nil, good[:len(good)/2]), nil },
+		"endless:1": func(*http.Request) (*http.Response, error) {
+			return &http.Response{StatusCode: 200, Body: io.NopCloser(endless{})}, nil
+		},
+		"old:1": func(*http.Request) (*http.Response, error) { return said(200, nil, old), nil },
+	}
+	client := &http.Client{Transport: roundTrip(func(req *http.Request) (*http.Response, error) {
+		if req.URL.Path != "/records/ownership.map" || req.Method != http.MethodGet {
+			t.Errorf("asked %s %s", req.Method, req.URL)
+		}
+		if req.URL.Host == "good:1" {
+			return said(200, nil, good), nil
+		}
+		return servers[req.URL.Host](req)
+	})}
+	synctest.Test(t, func(t *testing.T) {
+		var all []string
+		for addr := range servers {
+			all = append(all, addr)
+			if m, err := FetchMap(t.Context(), client, []string{addr, "good:1"}, 5); err != nil || m.Number != 6 {
+				t.Errorf("beside %s: %v", addr, err)
+			}
+		}
+		began := time.Now()
+		m, err := FetchMap(t.Context(), client, all, 5)
+		if m != nil || !errors.Is(err, ErrBehind) || !errors.Is(err, ErrNoMap) || !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("nobody has it: %v", err)
+		}
+		for _, addr := range all {
+			if !strings.Contains(err.Error(), addr) {
+				t.Errorf("nothing of %s in %v", addr, err)
+			}
+		}
+		if took := time.Since(began); took > answerTime {
+			t.Errorf("it took %v", took)
+		}
+		if m, err := FetchMap(t.Context(), client, []string{"old:1"}, 0); err != nil || m.Number != 4 {
+			t.Errorf("any map: %v", err)
+		}
+		for _, addr := range []string{"none:1", "taken:1"} {
+			if _, err := FetchMap(t.Context(), client, []string{addr}, 0); !errors.Is(err, ErrNoMap) {
+				t.Errorf("%s: %v", addr, err)
+			}
+		}
+		if _, err := FetchMap(t.Context(), client, nil, 0); err == nil {
+			t.Error("fetched from nowhere")
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		if _, err := FetchMap(ctx, client, []string{"hangs:1", "hangs:1"}, 0); !errors.Is(err, context.Canceled) {
+			t.Errorf("after its end: %v", err)
+		}
+	})
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -167,8 +167,6 @@
 			most = min(apart<<min(p.refusals, 8), nextRefusal)
 		}
 		return most/2 + rand.N(most/2)
-	case errors.Is(err, ErrCannotPart): // nothing but a newer build mends it, and each ask costs a piece of the whole list
-		return nextRefusal/2 + rand.N(nextRefusal/2)
 	case told && errors.Is(err, errSilent):
 		return rand.N(min(apart, afterSilence))
 	case told: // it was cut, and the others' with it
@@ -216,8 +214,9 @@
 		n = rand.IntN(len(w.Addresses))
 	}
 	failed := 0                  // addresses in a row
+	unable := 0                  // of those, for ErrCannotPart
 	whole := w.Partitions != nil // what the caller has may be of other partitions
-	cannot := map[string]bool{}  // addresses that were found not to part the list
+	cannot := map[string]bool{}  // addresses that were found unable
 	for ctx.Err() == nil {
 		first := true
 		addr := w.Addresses[n%len(w.Addresses)]
@@ -240,14 +239,18 @@
 				return err
 			}
 			pause.news()
-			first, failed, whole = false, 0, false
+			first, failed, unable, whole = false, 0, 0, false
 			return nil
 		})
 		if ctx.Err() != nil {
 			return
 		}
 		w.Log.Debug("watch ended", "discovery", addr, "err", err)
-		if is := errors.Is(err, ErrCannotPart); is != cannot[addr] && (is || !first) {
+		is := errors.Is(err, ErrCannotPart)
+		if is {
+			unable++
+		}
+		if is != cannot[addr] && (is || !first) {
 			if cannot[addr] = is; is {
 				w.Log.Warn("not taken: the server would send the whole list", "discovery", addr, "err", err)
 			} else {
@@ -258,7 +261,10 @@
 		if failed++; failed < len(w.Addresses) { // the next one may do at once
 			wait = rand.N(firstBackoff)
 		} else {
-			failed = 0
+			if unable == len(w.Addresses) { // nothing but a newer build mends it, and each ask costs a piece of the whole list
+				wait = nextRefusal/2 + rand.N(nextRefusal/2)
+			}
+			failed, unable = 0, 0
 		}
 		if len(w.Addresses) > 1 {
 			n++
