--- a/cmd/cottonrack/lab.go
+++ b/cmd/cottonrack/lab.go
@@ -33,6 +33,7 @@
 	Scale          labScaleCmd     `cmd:"" help:"Measure what grows with an axis of the fleet's size, and fit its slopes."`
 	ScalePlay      labScalePlayCmd `cmd:"" hidden:""`
 	Directory      labDirectoryCmd `cmd:"" help:"Prove the list service: three replicas under faults, writers and watchers, and a checker."`
+	Ownership      labOwnershipCmd `cmd:"" help:"Prove ownership of destinations: eight nodes, three replicas, controllers and writers under faults, and a checker."`
 }
 
 // playing is what all commands that play have in common.
--- a/cmd/cottonrack/scale.go
+++ b/cmd/cottonrack/scale.go
@@ -158,15 +158,6 @@
 	return hex.EncodeToString(h.Sum(nil)), nil
 }
 
-// inFile puts a file's name before each of joined errors.
-func inFile(file string, err error) error {
-	var lines []string
-	for e := range strings.SplitSeq(err.Error(), "\n") {
-		lines = append(lines, file+": "+e)
-	}
-	return errors.New(strings.Join(lines, "\n"))
-}
-
 // scaleProgress shows how far a run is: one line that changes on a terminal, a plain line with each play and each ten seconds elsewhere.
 func (a *app) scaleProgress(f scale.File) (show func(scale.Progress), done func()) {
 	line := func(p scale.Progress) string {
