--- a/cmd/cottonrack/scale.go
+++ b/cmd/cottonrack/scale.go
@@ -36,6 +36,7 @@
 	Slopes string `help:"Put the slopes into this file, in place of those of the same id, and the table, page and plots into --pages."`
 	Pages  string `help:"Folder of the tables that --slopes refers to." default:"docs/scale"`
 	Node   string `help:"The node's program." default:"bin/coralyard" type:"path"`
+	Commit string `help:"What both programs were built from, where they don't know it themselves (-buildvcs=false)."`
 }
 
 // Run plays the file, and writes its results.
@@ -61,6 +62,9 @@
 	if err != nil {
 		return err
 	}
+	if c.Slopes != "" && opts.Build.Commit == "" {
+		return wrongUse{errors.New("--slopes tells of which build a slope is, and this one doesn't know: build with -buildvcs=true, or name it with --commit")}
+	}
 	passing := false
 	if c.Resume {
 		opts.Dir = c.Out
@@ -121,6 +125,12 @@
 	}
 	o.Node, o.Self, o.Command = node, self, []string{self, "--log-level", "info", "lab", "scale-play"}
 	o.Build = scale.Build{Commit: commit(), Programs: map[string]string{}}
+	switch {
+	case o.Build.Commit == "":
+		o.Build.Commit = c.Commit
+	case c.Commit != "" && c.Commit != o.Build.Commit:
+		return o, wrongUse{fmt.Errorf("--commit: this program was built from %s", o.Build.Commit)}
+	}
 	for name, file := range map[string]string{"coralyard": node, "cottonrack": self} {
 		if o.Build.Programs[name], err = fileSum(file); err != nil {
 			return o, err
--- a/internal/lab/scale/report.go
+++ b/internal/lab/scale/report.go
@@ -62,7 +62,7 @@
 		}
 	}
 	if slices.ContainsFunc(res.Fits, func(f Fit) bool { return len(f.Why) > 0 }) {
-		b.WriteString("\nWhy these forms, where it isn't the simplest one:\n\n")
+		b.WriteString("\nWhy these forms and no simpler ones, or none:\n\n")
 		for _, f := range res.Fits {
 			if len(f.Why) > 0 {
 				fmt.Fprintf(&b, "- `%s`: %s\n", f.ID, strings.Join(f.Why, "; "))
