--- a/internal/lab/scale/fit.go
+++ b/internal/lab/scale/fit.go
@@ -8,13 +8,15 @@
 
 	"gonum.org/v1/gonum/mat"
 	"gonum.org/v1/gonum/stat/distuv"
+
+	"starlingusher/fleet/capacity"
 )
 
 // Forms of a slope, from the simplest on.
 const (
-	Constant  = "constant"
-	Linear    = "linear"
-	Quadratic = "quadratic"
+	Constant  = capacity.Constant
+	Linear    = capacity.Linear
+	Quadratic = capacity.Quadratic
 )
 
 var forms = []string{Constant, Linear, Quadratic} // each has one coefficient more than its place
--- a/internal/lab/scale/report.go
+++ b/internal/lab/scale/report.go
@@ -231,7 +231,7 @@
 			if logs {
 				x = s.From * math.Pow(s.To/s.From, part)
 			}
-			if y := s.at(x); !logs || y > 0 {
+			if y := s.At(x); !logs || y > 0 {
 				line = append(line, plotter.XY{X: x, Y: y})
 			}
 		}
--- a/internal/lab/scale/result.go
+++ b/internal/lab/scale/result.go
@@ -11,6 +11,8 @@
 	"slices"
 	"strconv"
 	"time"
+
+	"starlingusher/fleet/capacity"
 )
 
 // Result is what came of a run. It holds no path of the machine that it ran on, but for what a failed play may have said.
@@ -56,12 +58,12 @@
 
 // Fit is what came of one figure.
 type Fit struct {
-	ID    string   `json:"id"`
-	What  string   `json:"what"`
-	Unit  string   `json:"unit"`
-	Exact bool     `json:"exact"` // hangs on no machine's speed
-	Slope *slope   `json:"slope,omitempty"`
-	Why   []string `json:"why,omitempty"` // what spoke against simpler forms; why there is no slope
+	ID    string          `json:"id"`
+	What  string          `json:"what"`
+	Unit  string          `json:"unit"`
+	Exact bool            `json:"exact"` // hangs on no machine's speed
+	Slope *capacity.Slope `json:"slope,omitempty"`
+	Why   []string        `json:"why,omitempty"` // what spoke against simpler forms; why there is no slope
 }
 
 // End is a point at which today's program ended, with the reasons that the plays gave.
@@ -111,7 +113,7 @@
 				fewest = min(fewest, len(s.ys))
 			}
 			fit.Why = fd.why
-			fit.Slope = &slope{
+			fit.Slope = &capacity.Slope{
 				ID: m.ID, What: m.What, Per: f.Axis.Per, Unit: m.Unit, Form: forms[fd.order], At0: fd.c[0], Slope: fd.c[1], Square: fd.c[2],
 				Spread: fd.errors[fd.order], From: samples[0].x, To: samples[len(samples)-1].x, Points: len(samples), Plays: fewest, Worst: fd.worst,
 				Commit: h.Build.Commit,
--- a/internal/lab/scale/run_test.go
+++ b/internal/lab/scale/run_test.go
@@ -22,6 +22,7 @@
 
 	"go.uber.org/goleak"
 
+	"starlingusher/fleet/capacity"
 	"starlingusher/internal/lab/proc"
 	"starlingusher/internal/lab/scale/play"
 )
@@ -255,7 +256,7 @@
 	return numbers
 }
 
-func slopeOf(t *testing.T, res *Result, id string) *slope {
+func slopeOf(t *testing.T, res *Result, id string) *capacity.Slope {
 	t.Helper()
 	i := slices.IndexFunc(res.Fits, func(f Fit) bool { return f.ID == id })
 	if i < 0 {
--- a/internal/lab/scale/slopes_test.go
+++ b/internal/lab/scale/slopes_test.go
@@ -5,18 +5,20 @@
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"starlingusher/fleet/capacity"
 )
 
 func TestMergeSlopes(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "capacity", "slopes.toml")
 	res := &Result{Fits: []Fit{
-		{ID: "b", Slope: &slope{ID: "b", What: "bytes", Per: "thing", Unit: "B", Form: Linear, At0: 1234, Slope: 910, Spread: 35, From: 1000, To: 380000, Points: 5, Plays: 3, Worst: 0.06, Commit: "8af6f88"}},
+		{ID: "b", Slope: &capacity.Slope{ID: "b", What: "bytes", Per: "thing", Unit: "B", Form: Linear, At0: 1234, Slope: 910, Spread: 35, From: 1000, To: 380000, Points: 5, Plays: 3, Worst: 0.06, Commit: "8af6f88"}},
 		{ID: "none"},
 	}}
 	if err := res.MergeSlopes(path, "docs/scale/one.json"); err != nil {
 		t.Fatal(err)
 	}
-	other := &Result{Fits: []Fit{{ID: "a", Slope: &slope{ID: "a", Form: Constant}}, {ID: "c", Slope: &slope{ID: "c", Form: Constant}}}}
+	other := &Result{Fits: []Fit{{ID: "a", Slope: &capacity.Slope{ID: "a", What: "a", Per: "thing", Unit: "B", Form: Constant, From: 1, To: 2, Points: 1, Plays: 1, Commit: "c0ffee"}}, {ID: "c", Slope: &capacity.Slope{ID: "c", What: "c", Per: "thing", Unit: "B", Form: Constant, From: 1, To: 2, Points: 1, Plays: 1, Commit: "c0ffee"}}}}
 	if err := other.MergeSlopes(path, "docs/scale/two.json"); err != nil {
 		t.Fatal(err)
 	}
