--- a/cmd/cottonrack/ownership.go
+++ b/cmd/cottonrack/ownership.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"text/tabwriter"
 	"time"
 
@@ -302,7 +303,7 @@
 		}
 		return nil
 	}
-	until := time.Now().Add(c.Wait + applyLease)
+	begun := time.Now()
 	var held time.Time
 	for next := agreement.Begin(); ; {
 		ans := ownership.Answer{Seq: next.Seq, Came: ownership.Done}
@@ -337,7 +338,11 @@
 		default:
 			ans.Came, ans.Err = ownership.Refused, err
 		}
-		if ans.Came != ownership.Done && (time.Now().After(until) || !registry.Sleep(ctx, 100*time.Millisecond)) {
+		limit := c.Wait
+		if errors.Is(err, catalog.ErrTaken) { // somebody writes, or has died
+			limit += applyLease
+		}
+		if ans.Came != ownership.Done && (time.Since(begun) > limit || !registry.Sleep(ctx, 100*time.Millisecond)) {
 			ans.Came = ownership.GaveUp
 		}
 		var ok bool
@@ -407,6 +412,7 @@
 		zones[r.Zone] = zone{z.members + 1, z.parts + r.Parts}
 	}
 	fmt.Fprintf(a.out, "map %d: %d members in %d zones, %d partitions of %d owners each\n\n", m.Number, len(rows), len(zones), ownership.Partitions, min(m.Copies, len(rows)))
+	slices.Sort(names)
 	w := tabwriter.NewWriter(a.out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "ZONE\tMEMBERS\tPARTS")
 	for _, name := range names {
--- a/fleet/ownership/make.go
+++ b/fleet/ownership/make.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"math"
@@ -209,6 +210,7 @@
 // maker is a map in the making.
 type maker struct {
 	members []Member
+	name    []uint64 // hashed
 	weight  []float64
 	zone    []int
 	unlike  int // zones that each partition's owners are in
@@ -223,7 +225,7 @@
 
 	ranked int // partition whose scores are at hand
 	scores []float64
-	key    []byte
+	key    [10]byte
 }
 
 func newMaker(copies int, members []Member) *maker {
@@ -232,6 +234,9 @@
 	k.zone, zones = zonesOf(members)
 	k.unlike = min(k.per, zones)
 	k.share = shares(members, k.per)
+	for _, m := range members {
+		k.name = append(k.name, xxhash.Sum64String(m.Name))
+	}
 	for _, s := range k.share {
 		k.even = append(k.even, int(s))
 		k.fill = append(k.fill, min(int(fillTo*s+1), Partitions))
@@ -245,8 +250,9 @@
 // score is a member's for a partition; the highest ranks first. With u even on (0,1) by the hash, -w/ln(u) puts each
 // member first in proportion to its weight, and one that comes or goes changes nothing between the others.
 func (k *maker) score(m, p int) float64 {
-	k.key = append(append(k.key[:0], k.members[m].Name...), 0, byte(p>>8), byte(p))
-	u := (float64(xxhash.Sum64(k.key)>>12) + 0.5) / (1 << 52) // neither 0 nor 1
+	binary.LittleEndian.PutUint64(k.key[:], k.name[m])
+	binary.LittleEndian.PutUint16(k.key[8:], uint16(p))
+	u := (float64(xxhash.Sum64(k.key[:])>>12) + 0.5) / (1 << 52) // neither 0 nor 1
 	return -k.weight[m] / math.Log(u)
 }
 
