Lab: scale runs of a node's share and of a directory that holds the whole list

Axis owned: a replica with [list] most raised, the list written in bodies of 20,000 endpoints, a map of 820 nodes in the record, and one hollow node with [ownership]. A meter before the replica counts bytes by what they answer. The node's count, its kept list and the directory's list of the share are held against the map. Axis directory: memory of such a replica, and the time until it serves after a kill.

--- a/internal/lab/scale/hollow/axes.go
+++ b/internal/lab/scale/hollow/axes.go
@@ -4,7 +4,7 @@
 
 // Axes are the axes that hollow nodes play.
 func Axes() []play.Axis {
-	return []play.Axis{destinationsAxis(), moduleAxis(), nodesAxis(), changesAxis(), togetherAxis()}
+	return []play.Axis{destinationsAxis(), moduleAxis(), nodesAxis(), changesAxis(), togetherAxis(), ownedAxis(), directoryAxis()}
 }
 
 // quickSetting shortens all waits of an axis, for runs that expect bytes and counts and fit nothing.
--- a/internal/lab/scale/hollow/hollow.go
+++ b/internal/lab/scale/hollow/hollow.go
@@ -19,8 +19,8 @@
 // takes beside them what a real one takes: two descriptors (the journal, the watch), a listener's place in memory, the module's
 // and the loop's channels, and some goroutines (the plays count them).
 //
-// A view of the members (fleet/members) is part of neither: no node has one yet. Neither is a node that follows its own partitions
-// alone: the lines of a fleet file that make it one go into Spec.Fleet.
+// A view of the members (fleet/members) is part of neither: no node has one yet. A node that follows its own partitions alone is
+// made by the lines of its fleet file, which go into Spec.Fleet.
 package hollow
 
 import (
--- a/internal/lab/scale/hollow/service.go
+++ b/internal/lab/scale/hollow/service.go
@@ -50,7 +50,12 @@
 }
 
 // openService starts so many replicas, and returns when all of them vote and have the list.
-func openService(ctx context.Context, s play.Spec, replicas int, linked bool, list []catalog.Endpoint) (svc *service, err error) {
+func openService(ctx context.Context, s play.Spec, replicas int, linked bool, list []catalog.Endpoint) (*service, error) {
+	return openServiceOf(ctx, s, "", replicas, linked, list)
+}
+
+// openServiceOf is openService with replicas of further settings, in TOML.
+func openServiceOf(ctx context.Context, s play.Spec, settings string, replicas int, linked bool, list []catalog.Endpoint) (svc *service, err error) {
 	svc = &service{sup: proc.NewSupervisor()}
 	defer func() {
 		if err != nil {
@@ -63,7 +68,7 @@
 	// Writes come from an address of their own, so that carried does not count them among the nodes'.
 	dial := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(svc.from())}}
 	svc.client = &http.Client{Timeout: listWait, Transport: &http.Transport{DialContext: dial.DialContext, MaxIdleConnsPerHost: 64}}
-	o := replica.Options{Command: []string{s.Self, "directory", "serve"}, Dir: filepath.Join(s.Dir, "directory"), Block: svc.block, Supervisor: svc.sup, Seed: s.Seed}
+	o := replica.Options{Command: []string{s.Self, "directory", "serve"}, Dir: filepath.Join(s.Dir, "directory"), Block: svc.block, Supervisor: svc.sup, Seed: s.Seed, Settings: settings}
 	if linked {
 		o.Weather = &relay.Weather{}
 	}
