--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -668,6 +668,8 @@
 		f.Add(uint8(i), "after=x&limit=-1", "*", []byte(`{"members":[{"id":"a","host_port":"h:1","phase":"SERVING","size":1}]}`))
 	}
 	f.Add(uint8(0), "after=99999999999999999999", "1.2.3", []byte("{"))
+	f.Add(uint8(0), "partitions=3,17,40-44", "*", []byte(nil))
+	f.Add(uint8(0), "partitions=44-40&after=1", "*", []byte(nil))
 	f.Fuzz(func(t *testing.T, which uint8, query, match string, body []byte) {
 		method, path, _ := strings.Cut(paths[int(which)%len(paths)], " ")
 		req, err := http.NewRequest(method, "http://d"+path+query, bytes.NewReader(body))
