--- a/cmd/cottonrack/ownership.go
+++ b/cmd/cottonrack/ownership.go
@@ -54,7 +54,7 @@
 		}
 		members = append(members, ownership.Member{Name: m.Name, Zone: m.Zone, Weight: weight})
 	}
-	if _, err := ownership.Make(1, f.Copies, members, nil); err != nil { // whatever is wrong with it, before anybody is asked
+	if err := ownership.Check(f.Copies, members); err != nil { // before anybody is asked
 		return 0, nil, wrongUse{fmt.Errorf("%s: %w", w.Members, err)}
 	}
 	return f.Copies, members, nil
@@ -145,7 +145,7 @@
 		same.Number = before.Number
 		now, err := before.Encode()
 		if raw, err2 := same.Encode(); err == nil && err2 == nil && bytes.Equal(raw, now) {
-			m = before
+			m, p.Number = before, before.Number
 		}
 	}
 	return m, p, nil
@@ -273,7 +273,7 @@
 	case err != nil:
 		return fmt.Errorf("nothing was written: %w", err)
 	}
-	p.Written = m.Number == p.Number
+	p.Written = m.Number > p.Before
 	if p.Written || a.asJSON {
 		return p.print(a)
 	}
--- a/fleet/ownership/make.go
+++ b/fleet/ownership/make.go
@@ -40,7 +40,7 @@
 // past their bound, and those above their share of whom a member takes that has come (or grown, or is in another zone
 // now), until it has its own share. The result does not hang on the order of members. Errors are ErrBad.
 func Make(number int64, copies int, members []Member, before *Map) (*Map, error) {
-	members = slices.SortedFunc(slices.Values(members), func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	members = inOrder(members)
 	if err := check(number, copies, members); err != nil {
 		return nil, err
 	}
@@ -76,6 +76,13 @@
 	return out, nil
 }
 
+// Check tells what is wrong with copies and members that a map is to be made of: ErrBad.
+func Check(copies int, members []Member) error { return check(1, copies, inOrder(members)) }
+
+func inOrder(members []Member) []Member {
+	return slices.SortedFunc(slices.Values(members), func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+}
+
 // check tells what is wrong with the frame of a map whose members are in order.
 func check(number int64, copies int, members []Member) error {
 	switch {
