Lab: nodes handed over, started without a directory, a region killed, the directory gone

Of the hard cases of ownership these four had no fault that plays them. A node without a directory must go on accepting what it owns by its kept map and list; the trial looks that it does.

--- a/cmd/cottonrack/labownership.go
+++ b/cmd/cottonrack/labownership.go
@@ -108,7 +108,7 @@
 	for _, k := range slices.Sorted(maps.Keys(r.Handed)) {
 		fmt.Fprintf(a.out, "  %s %d", k, r.Handed[k])
 	}
-	fmt.Fprintf(a.out, "; %d handed in again while held, %d ended after their node had lost them\n", r.Again, r.Outlived)
+	fmt.Fprintf(a.out, "; %d handed in again while held, %d ended after their node had lost them; %d times a node went on without a directory\n", r.Again, r.Outlived, r.GoneOn)
 	for _, k := range slices.Sorted(maps.Keys(r.Changes)) {
 		fmt.Fprintf(a.out, "  %s %d;", k, r.Changes[k])
 	}
--- a/internal/lab/trial/ownership.go
+++ b/internal/lab/trial/ownership.go
@@ -87,6 +87,7 @@
 	Again   int            `json:"again"`   // messages handed in once more while they were held, and taken for such
 	// Outlived counts the messages that ended after their node had been told a map by which it does not own them any more.
 	Outlived int `json:"outlived"`
+	GoneOn   int `json:"gone_on"` // times in which a node was seen to accept without a directory
 	// Over is the longest time after a new map, or the end of what kept a node from it, in which the node still accepted what it had lost.
 	Over time.Duration `json:"over"`
 	// Quiet is how long after the last map all nodes acted by it.
@@ -584,6 +585,23 @@
 		registry.Sleep(ctx, d)
 		return p.Signal(syscall.SIGCONT)
 	})},
+	{"node handed over", onNode(func(t *ownershipTrial, ctx context.Context, n *ownedNode, d time.Duration) error {
+		return n.handOver(ctx, d)
+	})},
+	{"node killed and started while cut off", onNode(func(t *ownershipTrial, ctx context.Context, n *ownedNode, d time.Duration) error {
+		t.cut(n.fronts, relay.Weather{CutOut: true, CutBack: true})
+		defer t.cut(n.fronts, calm)
+		n.kill()
+		kept, _ := n.list() // it may not have had the time to keep one
+		registry.Sleep(ctx, d/2)
+		if err := n.start(ctx); err != nil {
+			return err
+		}
+		t.goesOn(ctx, n, func(dest int) bool {
+			return slices.ContainsFunc(slices.Collect(maps.Values(kept)), func(e catalog.Endpoint) bool { return e.Cell == dest })
+		})
+		return nil
+	})},
 	{"node cut off", onNode(func(t *ownershipTrial, ctx context.Context, n *ownedNode, d time.Duration) error {
 		t.cut(n.fronts, relay.Weather{CutOut: t.r.IntN(2) == 0, CutBack: true})
 		registry.Sleep(ctx, d)
@@ -641,6 +659,39 @@
 		t.cut(away, calm)
 		return fmt.Sprint("region ", of), nil
 	}},
+	{"region killed", func(t *ownershipTrial, ctx context.Context, d time.Duration) (string, error) {
+		of := t.r.IntN(ownRegions)
+		defer t.disturb(-1, "region killed")()
+		t.all[of].Kill()
+		var errs []error
+		for _, n := range t.nodes {
+			if region(n.number) == of {
+				n.kill()
+			}
+		}
+		registry.Sleep(ctx, d)
+		for _, n := range t.nodes {
+			errs = append(errs, n.start(ctx))
+		}
+		return fmt.Sprint("region ", of), errors.Join(append(errs, t.all[of].Start())...)
+	}},
+	{"directory gone", func(t *ownershipTrial, ctx context.Context, d time.Duration) (string, error) {
+		defer t.disturb(-1, "directory gone")()
+		for _, r := range t.all {
+			r.Kill()
+		}
+		registry.Sleep(ctx, d/2)
+		var going sync.WaitGroup
+		for _, n := range t.nodes {
+			going.Go(func() { t.goesOn(ctx, n, func(int) bool { return true }) })
+		}
+		going.Wait()
+		var errs []error
+		for _, r := range t.all {
+			errs = append(errs, r.Start())
+		}
+		return "", errors.Join(errs...)
+	}},
 	{"replica killed", onReplica("kill", false)},
 	{"replica stopped", onReplica("stop", false)},
 	{"replica cut from callers", onReplica("cut from callers", false)},
@@ -681,6 +732,39 @@
 	}
 }
 
+// goesOn holds a node without a directory to its map and list: it accepts what it owns by all maps of late, whichever of them it
+// has, and what is on its list.
+func (t *ownershipTrial) goesOn(ctx context.Context, n *ownedNode, listed func(dest int) bool) {
+	s := t.seen()
+	since := int64(0)
+	for _, e := range s.eras {
+		if e.Known < t.now()-2*heardWithin {
+			since = max(since, e.Number)
+		}
+	}
+	var dests []int
+	for d := range steadyDests {
+		if listed(d) && !slices.ContainsFunc(s.eras, func(e Era) bool { return e.Number >= since && !e.Owned[n.number].Has(ownership.PartitionOf(d)) }) {
+			dests = append(dests, d)
+		}
+	}
+	if len(dests) == 0 {
+		return // it may be in none of them
+	}
+	i := 0
+	accepts := func() bool {
+		i++
+		return t.hand(n, t.newID(), classSafe, dests[i%len(dests)], t.now()+life, false).State == history.Taken
+	}
+	if err := await(ctx, n.name+" accepting without a directory", accepts); err != nil && ctx.Err() == nil {
+		t.fail(Returns, "%v, of %d destinations that it owned all the time", err, len(dests))
+		return
+	}
+	t.mu.Lock()
+	t.result.GoneOn++
+	t.mu.Unlock()
+}
+
 // cut sets the weather of the links to fronts. A path that is whole again comes back with its connections broken.
 func (t *ownershipTrial) cut(all []*front, w relay.Weather) {
 	for _, f := range all {
--- a/internal/lab/trial/ownership_node.go
+++ b/internal/lab/trial/ownership_node.go
@@ -22,6 +22,7 @@
 	"starlingusher/fleet/history"
 	"starlingusher/fleet/judge"
 	"starlingusher/internal/lab/proc"
+	"starlingusher/internal/registry"
 )
 
 const (
@@ -77,8 +78,9 @@
 	log    *os.File
 	fronts []*front
 
-	mu sync.Mutex
-	p  *proc.Process
+	mu     sync.Mutex
+	p      *proc.Process
+	starts int
 }
 
 func (t *ownershipTrial) newNode(number int) (*ownedNode, error) {
@@ -112,7 +114,7 @@
 	}
 	raw, err := json.Marshal(map[string]any{
 		"name": n.name, "listen": n.addr(), "discovery": reachedFirst(n), "seed": fmt.Sprintf("%016x", t.opts.Seed+uint64(number)), "settings": settings,
-		"known": catalog.List{Members: []catalog.Endpoint{}}, "admin_addr": n.admin(),
+		"known":  catalog.List{Members: []catalog.Endpoint{}},
 		"limits": map[string]any{"cores": 1, "memory_mb": 256, "sockets": 512, "disk_mb": 16},
 	})
 	if err != nil {
@@ -129,29 +131,68 @@
 	return fmt.Sprintf("%s:%d", n.t.block.IP(nodeHost, n.number+1), clientPort)
 }
 
+// admin is the operators' address of the process that was started last; the one before may still have its own.
 func (n *ownedNode) admin() string {
-	return fmt.Sprintf("%s:%d", n.t.block.IP(nodeHost, n.number+1), adminPort)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.adminAt()
+}
+
+// adminAt is that; the lock is held.
+func (n *ownedNode) adminAt() string {
+	return fmt.Sprintf("%s:%d", n.t.block.IP(nodeHost, n.number+1), adminPort+n.starts)
 }
 
 // start starts its process, unless it runs, and returns when it answers.
 func (n *ownedNode) start(ctx context.Context) error {
 	n.mu.Lock()
-	p := n.p
-	if p == nil || over(p) {
-		var err error
-		p, err = n.t.sup.Start(proc.Spec{Name: n.name, Command: n.t.own.Node, Log: n.log, Sockets: 512, Env: []string{
-			"PATH=" + os.Getenv("PATH"), "ROUTER_NAME=" + n.name, "ROUTER_LISTEN=" + n.addr(), "ROUTER_DISCOVERY=" + reachedFirst(n),
-			"ROUTER_STATE=" + filepath.Join(n.dir, "state"), "ROUTER_CONFIG=" + filepath.Join(n.dir, "config.json"), "TMPDIR=" + filepath.Join(n.dir, "tmp"),
-			"ROUTER_FLEET=" + filepath.Join(n.dir, "fleet.toml"),
-		}})
-		if err != nil {
+	if n.p == nil || over(n.p) {
+		if err := n.launch(); err != nil {
 			n.mu.Unlock()
 			return err
 		}
+	}
+	n.mu.Unlock()
+	return n.awaitUp(ctx)
+}
+
+func (n *ownedNode) awaitUp(ctx context.Context) error {
+	p := n.process()
+	err := await(ctx, n.name+" in service", func() bool { return over(p) || n.ping() })
+	if err == nil && over(p) {
+		err = fmt.Errorf("%s ended %v before it was in service", n.name, p.Exit())
+	}
+	return err
+}
+
+// launch starts a process; the lock is held.
+func (n *ownedNode) launch() error {
+	n.starts++
+	p, err := n.t.sup.Start(proc.Spec{Name: n.name, Command: n.t.own.Node, Log: n.log, Sockets: 512, Env: []string{
+		"PATH=" + os.Getenv("PATH"), "ROUTER_NAME=" + n.name, "ROUTER_LISTEN=" + n.addr(), "ROUTER_DISCOVERY=" + reachedFirst(n),
+		"ROUTER_STATE=" + filepath.Join(n.dir, "state"), "ROUTER_CONFIG=" + filepath.Join(n.dir, "config.json"), "TMPDIR=" + filepath.Join(n.dir, "tmp"),
+		"ROUTER_FLEET=" + filepath.Join(n.dir, "fleet.toml"), "ROUTER_ADMIN_ADDR=" + n.adminAt(),
+	}})
+	if err == nil {
 		n.p = p
 	}
+	return err
+}
+
+// handOver starts another process, which takes over, and ends the one that was there.
+func (n *ownedNode) handOver(ctx context.Context, after time.Duration) error {
+	n.mu.Lock()
+	old := n.p
+	err := n.launch()
 	n.mu.Unlock()
-	return await(ctx, n.name+" in service", func() bool { return over(p) || n.ping() })
+	if err != nil {
+		return err
+	}
+	registry.Sleep(ctx, after)
+	if err := old.End(ctx, termWait); err != nil {
+		return err
+	}
+	return n.awaitUp(ctx)
 }
 
 func over(p *proc.Process) bool {
