Node: a node that looks for a map rests between its looks

Seen: two coralyard processes with [ownership], left behind by a test that had ended, took 60% of a core each for six minutes; strace showed no system calls but the runtime's preemptions. Cause: await in internal/node/ownership.go counted the minute of silence among what is due also while a look was set for later, which heeds no silence; so its timer fired at once, again and again, for up to 8 s of each pause while no directory answers. Ruled out: the loop (it waits in its select), the watch (its pauses are its own, seconds long). Now silence is due only while nothing is looked for.

--- a/internal/node/ownership.go
+++ b/internal/node/ownership.go
@@ -417,15 +417,11 @@
 			f.look(now)
 		}
 		now = time.Now()
-		next, wake := f.at(now)
+		next, _ := f.at(now)
 		if next != set {
 			return
 		}
-		for _, at := range []time.Time{f.lookAt, f.keepAt, time.Unix(0, f.heard.Load()).Add(f.unheard)} {
-			if !at.IsZero() && (wake.IsZero() || at.Before(wake)) {
-				wake = at
-			}
-		}
+		wake := f.wake(now)
 		timer.Reset(wake.Sub(now))
 		select {
 		case <-timer.C:
@@ -435,6 +431,21 @@
 	}
 }
 
+// wake is when await has something to do next, later than now once it has done what was due. While a map is looked for, silence is no news.
+func (f *follower) wake(now time.Time) time.Time {
+	_, wake := f.at(now)
+	due := []time.Time{f.lookAt, f.keepAt}
+	if f.lookAt.IsZero() {
+		due = append(due, time.Unix(0, f.heard.Load()).Add(f.unheard))
+	}
+	for _, at := range due {
+		if !at.IsZero() && (wake.IsZero() || at.Before(wake)) {
+			wake = at
+		}
+	}
+	return wake
+}
+
 // heed takes note of which map the list names. One of a smaller number is a replica's that is behind, or a restored
 // directory's: what a node has known is not undone by it.
 func (f *follower) heed(now time.Time) {
