Capacity: a node with ownership hears of its own changes alone, by bytes a change

The rows take changes a second times owners over nodes, in bytes and in steps, and the slope's unit is B. Ownership is built, so it leaves the order of what is missing. go test ./fleet/capacity passed.

--- a/fleet/capacity/rows.go
+++ b/fleet/capacity/rows.go
@@ -58,7 +58,7 @@
 
 // mechanisms, none of which is built.
 var mechanisms = []Mechanism{
-	{Name: ownership, Place: "fleet/ownership"},
+	{Name: ownership, Place: "fleet/ownership", Built: true},
 	{Name: passing, Place: "internal/node", Needs: []string{ownership}},
 	{Name: limits, Place: "fleet/shares", Needs: []string{ownership}},
 	{Name: probing, Place: "choice", Needs: []string{ownership}},
@@ -140,8 +140,11 @@
 	return func(t Target, _ *reading) float64 { return x(t) }
 }
 
-func nodesOf(t Target) float64      { return t.Fleet.Nodes }
-func changesOf(t Target) float64    { return t.List.ChangesPerS }
+func nodesOf(t Target) float64   { return t.Fleet.Nodes }
+func changesOf(t Target) float64 { return t.List.ChangesPerS }
+
+// changesOwned are the changes a second that come to one node, of destinations that it owns.
+func changesOwned(t Target) float64 { return t.List.ChangesPerS * t.owners() / t.Fleet.Nodes }
 func downOwned(t Target) float64    { return t.DestinationsDown() * t.owners() / t.Fleet.Nodes }
 func restartsPerS(t Target) float64 { return t.Failures.RestartsPerDay / secondsADay }
 
@@ -186,17 +189,18 @@
 			return s.at("node.watch.bytes", t.Fleet.Nodes) + s.rise("node.change.bytes", changesOf(t)) +
 				restartsPerS(t)/t.Fleet.Nodes*s.at("node.list.bytes", t.destinationsMeasured())
 		}, limits: []limit{controlBytes}, place: "internal/registry", waits: []string{ownership},
-		owned: &owned{"node.watch.bytes(nodes) + rise of owned.change.bytes(changes a second) + restarts a second / nodes × owned.list.bytes" + byOwned,
+		owned: &owned{"node.watch.bytes(nodes) + changes a second × owners / nodes × owned.change.bytes" + byOwned + " + restarts a second / nodes × owned.list.bytes" + byOwned,
 			func(t Target, s *reading) float64 {
-				return s.at("node.watch.bytes", t.Fleet.Nodes) + s.rise("owned.change.bytes", changesOf(t)) +
+				return s.at("node.watch.bytes", t.Fleet.Nodes) + changesOwned(t)*s.at("owned.change.bytes", t.destinationsOwned()) +
 					restartsPerS(t)/t.Fleet.Nodes*s.at("owned.list.bytes", t.destinationsOwned())
 			}, []limit{controlBytes}}},
 	{id: "control.messages.changes", role: NodeControl, kind: Messages, what: "changes of the list", unit: BytesPerS, axis: ByChanges,
 		formula: "rise of node.change.bytes(changes a second)",
 		figure:  func(t Target, s *reading) float64 { return s.rise("node.change.bytes", changesOf(t)) }, limits: []limit{controlBytes},
 		place: "internal/registry", waits: []string{ownership},
-		owned: &owned{"rise of owned.change.bytes(changes a second)",
-			func(t Target, s *reading) float64 { return s.rise("owned.change.bytes", changesOf(t)) }, []limit{controlBytes}}},
+		owned: &owned{"changes a second × owners / nodes × owned.change.bytes" + byOwned, func(t Target, s *reading) float64 {
+			return changesOwned(t) * s.at("owned.change.bytes", t.destinationsOwned())
+		}, []limit{controlBytes}}},
 	{id: "control.processor.idle", role: NodeControl, kind: Processor, what: "a node with nothing to do", unit: Cores, axis: ByNodes,
 		formula: "node.idle.cpu(nodes)", figure: one("node.idle.cpu", nodesOf), limits: []limit{controlCore}, place: "internal/node"},
 	{id: "control.processor.changes", role: NodeControl, kind: Processor, what: "changes of the list", unit: Cores, axis: ByDestinations,
@@ -204,8 +208,8 @@
 		figure: func(t Target, s *reading) float64 {
 			return changesOf(t) * s.at("node.change.step", t.destinationsMeasured())
 		}, limits: []limit{controlCore}, place: "choice", waits: []string{ownership},
-		owned: &owned{"changes a second × owned.change.step" + byOwned, func(t Target, s *reading) float64 {
-			return changesOf(t) * s.at("owned.change.step", t.destinationsOwned())
+		owned: &owned{"changes a second × owners / nodes × owned.change.step" + byOwned, func(t Target, s *reading) float64 {
+			return changesOwned(t) * s.at("owned.change.step", t.destinationsOwned())
 		}, []limit{controlCore}}},
 	{id: "control.processor.rate", role: NodeControl, kind: Processor, what: "changes of the list, by their rate, on the list that the run had", unit: Cores, axis: ByChanges,
 		formula: "rise of node.change.cpu(changes a second)",
@@ -221,9 +225,9 @@
 		figure: func(t Target, s *reading) float64 {
 			return s.at("node.idle.cpu", t.Fleet.Nodes) + changesOf(t)*s.at("node.change.step", t.destinationsMeasured()) + s.rise("node.down.cpu", t.DestinationsDown())
 		}, limits: []limit{controlCore}, place: "choice", waits: []string{ownership, probing},
-		owned: &owned{"node.idle.cpu(nodes) + changes a second × owned.change.step" + byOwned + " + rise of node.down.cpu(destinations down × owners / nodes)",
+		owned: &owned{"node.idle.cpu(nodes) + changes a second × owners / nodes × owned.change.step" + byOwned + " + rise of node.down.cpu(destinations down × owners / nodes)",
 			func(t Target, s *reading) float64 {
-				return s.at("node.idle.cpu", t.Fleet.Nodes) + changesOf(t)*s.at("owned.change.step", t.destinationsOwned()) + s.rise("node.down.cpu", downOwned(t))
+				return s.at("node.idle.cpu", t.Fleet.Nodes) + changesOwned(t)*s.at("owned.change.step", t.destinationsOwned()) + s.rise("node.down.cpu", downOwned(t))
 			}, []limit{controlCore}}},
 	{id: "control.memory.heap", role: NodeControl, kind: Memory, what: "heap, by destinations", unit: Bytes, axis: ByDestinations,
 		formula: "node.destinations.heap" + byDestinations, figure: one("node.destinations.heap", Target.destinationsMeasured), limits: []limit{controlMemory},
--- a/fleet/capacity/slope.go
+++ b/fleet/capacity/slope.go
@@ -97,7 +97,7 @@
 	"directory.failover": Seconds, "directory.follow.rss": Bytes, "directory.follow.cpu": Cores, "directory.follow.last": Seconds,
 	"operator.list.cpu": Seconds, "operator.list.rss": Bytes, "operator.list.time": Seconds,
 	"owned.destinations.heap": Bytes, "owned.list.bytes": Bytes, "owned.list.step": Seconds, "owned.change.step": Seconds, "owned.empty.step": Seconds,
-	"owned.change.bytes": BytesPerS, "directory.owned.rss": Bytes,
+	"owned.change.bytes": Bytes, "directory.owned.rss": Bytes,
 }
 
 var wellFormedID = regexp.MustCompile(`^[a-z0-9]+(\.[a-z0-9]+)*$`)
