--- a/cmd/cottonrack/capacity_test.go
+++ b/cmd/cottonrack/capacity_test.go
@@ -220,8 +220,8 @@
 	for _, f := range capacity.Facts() {
 		var got float64
 		switch f.Name {
-		case "MaxMembers":
-			got = catalog.MaxMembers
+		case "UsualMembers":
+			got = catalog.UsualMembers
 		case "MaxChanges":
 			got = catalog.MaxChanges
 		case "Watch.Most":
--- a/fleet/capacity/facts.go
+++ b/fleet/capacity/facts.go
@@ -18,10 +18,10 @@
 	factDisk    = Fact{"defaultDiskMB", "internal/node/journal.go", 3 << 20, Bytes, "the journal, unless the platform says otherwise; twice what it holds must fit", "limits.disk_mb"}
 	factReserve = Fact{"messageReserve", "internal/node/journal.go", 700, Bytes, "room that the journal keeps for the small records of an event", ""}
 	factLoop    = Fact{"loop", "internal/node/node.go", 1, Cores, "one goroutine takes all events and decides", ""}
-	factMembers = Fact{"MaxMembers", "fleet/catalog/list.go", 50_000, Count, "endpoints of the list", ""}
+	factMembers = Fact{"UsualMembers", "fleet/catalog/list.go", 50_000, Count, "endpoints of the list", "list.most"}
 	factChanges = Fact{"MaxChanges", "fleet/catalog/state.go", 10_000, Count, "changes that are kept for who comes back", ""}
 	factWrite   = Fact{"maxWrite", "internal/directory/server.go", 16 << 20, Bytes, "a body that a replica takes", ""}
-	factRead    = Fact{"maxBackup", "internal/directory/code.go", 256 << 20, Bytes, "a list or a backup that the operators' program reads", ""}
+	factRead    = Fact{"maxBackup", "internal/directory/code.go", 1 << 30, Bytes, "a list or a backup that the operators' program reads", ""}
 	factWatches = Fact{"Watch.Most", "internal/directory/config.go", 20_000, Count, "watches of a replica", "watch.most"}
 )
 
