Node: tests of a share that the mutations asked for, and owners wait for three votes

It was the test's fault; it waits for three votes now, as the directory's own test does, and asks no less.

Two changes of the code by hand had passed all tests: endpoints of the partition that is watched for the map's news alone, and watches of two sets that overlap.

--- a/cmd/coralyard/ownership_test.go
+++ b/cmd/coralyard/ownership_test.go
@@ -248,6 +248,16 @@
 	check(first)
 	second := makeMap(2, first, "n1")
 	check(second)
+	eventually(t, "three votes", func() bool { // they are taken in one after the other
+		st, err := op.Status(t.Context())
+		votes := 0
+		for _, m := range st.Members {
+			if m.Votes {
+				votes++
+			}
+		}
+		return err == nil && votes == 3
+	})
 	stop[0]()
 	op.Addresses = addrs[1:]
 	third := makeMap(3, second, "n1", "n2")
--- a/internal/node/ownership_test.go
+++ b/internal/node/ownership_test.go
@@ -471,13 +471,105 @@
 	if calls, conns := p.counts(); calls != 2 || conns != 1 {
 		t.Errorf("%d calls on %d connections", calls, conns)
 	}
-	// Not in a map at all, it follows none, and hears of the next one nevertheless.
+	// Not in a map at all, it follows none, and hears of the next one nevertheless: by the watch of a partition that is not
+	// its own, whose endpoints it passes over.
 	none := mapOf(t, 3, half, "n2")
 	d.setMap(t, none)
 	eventually(t, "nothing", func() bool { return o.seen().number == 3 && o.n.figures.listed.Load() == 0 })
-	d.setMap(t, mapOf(t, 4, none, "n1"))
+	d.mu.Lock()
+	last := d.asks[len(d.asks)-1]
+	d.mu.Unlock()
+	set, err := ownership.ParseSet(last[strings.LastIndex(last, "=")+1:])
+	if err != nil || set.Len() != 1 {
+		t.Fatalf("%s: %v", last, err)
+	}
+	stray := 0
+	for !set.Has(ownership.PartitionOf(stray)) {
+		stray++
+	}
+	d.put(at("e3", p.addr(), stray, "SERVING"))
+	asks := d.asked("watch=1")
+	d.cutWatches()
+	eventually(t, "another watch", func() bool { return d.asked("watch=1") > asks })
+	d.setMap(t, mapOf(t, 4, none, "n2", "n3"))
+	o.awaitMap(t, 4)
+	if n := o.n.figures.listed.Load(); n != 0 {
+		t.Errorf("%d endpoints of nothing", n)
+	}
+	d.setMap(t, mapOf(t, 5, none, "n1"))
 	o.ready(t)
-	eventually(t, "all", func() bool { return o.n.figures.listed.Load() == 2 })
+	eventually(t, "all", func() bool { return o.n.figures.listed.Load() == 3 })
+}
+
+// A set's watch begins when that of the set before it is over, to its last list: one that came later would be taken for the
+// whole of the new set.
+func TestWatchesOfSetsDoNotOverlap(t *testing.T) {
+	t.Parallel()
+	_, half, stays, _ := parting(t)
+	d := newDirectory(t)
+	d.put(at("e1", "127.0.0.1:9", stays[0], "DRAINING"))
+	d.setMap(t, half)
+	n := bareAltered(t, owns(d.addr()))
+	ctx, cancel := context.WithCancel(t.Context())
+	var parts sync.WaitGroup
+	defer parts.Wait()
+	defer cancel()
+	numbers := make(chan int64, 10)
+	parts.Go(func() {
+		last := int64(0)
+		for {
+			select {
+			case e := <-n.events:
+				n.take(ctx, []any{e})
+				if n.own.number != last {
+					last = n.own.number
+					numbers <- last
+				}
+			case <-ctx.Done():
+				return
+			}
+		}
+	})
+	whole, held, release := make(chan int, 10), make(chan struct{}, 10), make(chan struct{})
+	w := registry.Watcher{
+		Addresses: []string{d.addr()}, Nodes: 1, Client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+		Log: slog.New(slog.DiscardHandler), Track: registry.NewTrack(registry.Position{}),
+	}
+	parts.Go(func() {
+		n.watch(ctx, &w, func(l registry.News) error {
+			if l.Complete {
+				whole <- len(l.Members)
+			}
+			if l.Map == 2 && !l.Complete {
+				held <- struct{}{}
+				<-release // the old set's last word
+			}
+			return nil
+		})
+	})
+	if got := <-numbers; got != 2 {
+		t.Fatalf("map %d", got)
+	}
+	eventually(t, "the half", func() bool { return len(whole) > 0 && <-whole == 1 })
+	d.put(at("e2", "127.0.0.1:9", stays[1], "DRAINING"))
+	<-held
+	asks := d.asked("watch=1")
+	// It is the follower's next look that finds it: the watch, which is held, can't tell of it.
+	d.setMap(t, mapOf(t, 3, half, "n1"))
+	n.own.follow.told.Store(3)
+	select {
+	case n.own.follow.news <- struct{}{}:
+	default:
+	}
+	if got := <-numbers; got != 3 {
+		t.Fatalf("map %d", got)
+	}
+	time.Sleep(200 * time.Millisecond)
+	if now := d.asked("watch=1"); now != asks {
+		t.Errorf("%d watches more while the last one still tells", now-asks)
+	}
+	close(release)
+	eventually(t, "the whole", func() bool { return d.asked("watch=1") > asks && len(whole) > 0 && <-whole == 2 })
 }
 
 // A share that is taken away and given back in that time is as if it had stayed, but for what comes between.
