--- a/fleet/capacity/rows.go
+++ b/fleet/capacity/rows.go
@@ -60,8 +60,8 @@
 var mechanisms = []Mechanism{
 	{Name: ownership, Place: "fleet/ownership", Built: true},
 	{Name: passing, Place: "internal/node", Needs: []string{ownership}},
-	{Name: limits, Place: "fleet/shares", Needs: []string{ownership}},
-	{Name: probing, Place: "choice", Needs: []string{ownership}},
+	{Name: limits, Place: "fleet/shares", Needs: []string{ownership, passing}}, // no fleet runs by owners whose clients go to any node
+	{Name: probing, Place: "choice", Needs: []string{ownership, passing}},
 	{Name: backlog, Place: "internal/node/journal.go"},
 	{Name: configuration, Place: "internal/directory"},
 	{Name: followers, Place: "internal/directory"},
