Coralyard: the test of owners takes all its ports at once, and none of those given to connections

One of 20 runs beside others failed at "three votes", one of 90 at "no map": a port that was let go of was given out again, once a replica's for Raft to a node's operators (HTTP came to Raft, as the replica's log said).

--- a/cmd/coralyard/ownership_test.go
+++ b/cmd/coralyard/ownership_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -24,13 +25,28 @@
 	"starlingusher/internal/directory"
 )
 
+// addresses are so many that nobody has, all unlike, and of ports that no connection on its way out is given meanwhile.
+func addresses(t *testing.T, n int) (addrs []string) {
+	t.Helper()
+	for tries := 0; len(addrs) < n; tries++ {
+		ln, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", 20000+rand.IntN(12000)))
+		if err == nil {
+			defer ln.Close()
+			addrs = append(addrs, ln.Addr().String())
+		} else if tries > 1000 {
+			t.Fatal(err)
+		}
+	}
+	return addrs
+}
+
 // startReplicas starts three replicas of the list service.
-func startReplicas(t *testing.T) (addrs []string, stop []func()) {
+func startReplicas(t *testing.T, at []string) (addrs []string, stop []func()) {
 	t.Helper()
 	var all []directory.Config
 	for i := range 3 {
 		c := directory.Defaults()
-		c.ID, c.HTTP, c.Raft, c.Data = fmt.Sprint("d", i), free(t), free(t), t.TempDir()
+		c.ID, c.HTTP, c.Raft, c.Data = fmt.Sprint("d", i), at[2*i], at[2*i+1], t.TempDir()
 		all = append(all, c)
 		addrs = append(addrs, c.HTTP)
 	}
@@ -40,7 +56,7 @@
 				c.Peers = append(c.Peers, directory.Peer{ID: p.ID, HTTP: p.HTTP, Raft: p.Raft})
 			}
 		}
-		r, err := directory.Open(c, slog.New(slog.DiscardHandler))
+		r, err := directory.Open(c, slog.New(slog.NewTextHandler(t.Output(), nil)).With("replica", c.ID))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -91,11 +107,12 @@
 type ownerProcess struct {
 	*exec.Cmd
 	name, listen, admin, config, fleet, state string
+	admins                                    []string // one for each process
 }
 
 func (o *ownerProcess) start(t *testing.T) {
 	t.Helper()
-	o.admin = free(t)
+	o.admin, o.admins = o.admins[0], o.admins[1:]
 	o.Cmd = exec.Command(os.Args[0])
 	o.Env = append(os.Environ(), "CORALYARD_TEST_CHILD=1", "ROUTER_STATE="+o.state, "ROUTER_CONFIG="+o.config, "ROUTER_ADMIN_ADDR="+o.admin, "ROUTER_FLEET="+o.fleet)
 	o.Stderr = os.Stderr
@@ -154,7 +171,8 @@
 // Two processes and three replicas: each destination is taken on by its owner and refused by the other, through new maps, a
 // replica's end, a kill, a handover and a signal.
 func TestOwners(t *testing.T) {
-	addrs, stop := startReplicas(t)
+	at := addresses(t, 14)
+	addrs, stop := startReplicas(t, at)
 	op := &directory.Operator{Addresses: addrs, Wait: patience}
 	came := make(chan string, 100)
 	partner := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
@@ -184,9 +202,9 @@
 		return m
 	}
 	var nodes []*ownerProcess
-	for _, name := range []string{"n1", "n2"} {
+	for i, name := range []string{"n1", "n2"} {
 		dir := t.TempDir()
-		o := &ownerProcess{name: name, listen: free(t), state: t.TempDir(), config: filepath.Join(dir, "config.json"), fleet: filepath.Join(dir, "fleet.toml")}
+		o := &ownerProcess{name: name, listen: at[6+i], admins: at[8+3*i:][:3], state: t.TempDir(), config: filepath.Join(dir, "config.json"), fleet: filepath.Join(dir, "fleet.toml")}
 		writeConfig(t, o.config, o.listen, "127.0.0.1:9")
 		text := fmt.Sprintf("[registry]\naddresses = [\"%s\"]\nkeep_kb = 64\n[ownership]\nname = %q\n", strings.Join(addrs, "\", \""), name)
 		if err := os.WriteFile(o.fleet, []byte(text), 0o600); err != nil {
