--- a/fleet/capacity/page.go
+++ b/fleet/capacity/page.go
@@ -22,7 +22,7 @@
 	var out strings.Builder
 	var found []error
 	bad := func(line int, format string, args ...any) {
-		found = append(found, &Error{line, fmt.Sprintf(format, args...)})
+		found = append(found, &Error{Line: line, Text: fmt.Sprintf(format, args...)})
 	}
 	seen := map[string]bool{}
 	begun, open := 0, "" // the line of the mark that awaits its end
--- a/fleet/capacity/slope.go
+++ b/fleet/capacity/slope.go
@@ -10,6 +10,8 @@
 	"slices"
 
 	"github.com/pelletier/go-toml/v2"
+
+	"starlingusher/fleet/tomlfile"
 )
 
 // Unit is what a figure is counted in.
@@ -110,10 +112,10 @@
 // found, joined.
 func ParseSlopes(text []byte) ([]Slope, error) {
 	var f slopeFile
-	if err := decode(text, &f); err != nil {
+	if err := tomlfile.Decode(text, &f, unknown); err != nil {
 		return nil, err
 	}
-	where := lines(text)
+	where := tomlfile.Lines(text)
 	var found []error
 	seen := map[string]bool{}
 	for i, s := range f.Slopes {
@@ -123,11 +125,11 @@
 			if line == 0 {
 				line = where[table]
 			}
-			return &Error{line, fmt.Sprintf("slope %q: ", s.ID) + fmt.Sprintf(format, args...)}
+			return &Error{Line: line, Text: fmt.Sprintf("slope %q: ", s.ID) + fmt.Sprintf(format, args...)}
 		})
 		found = append(found, err)
 		if seen[s.ID] {
-			found = append(found, &Error{where[table+".id"], fmt.Sprintf("slope %q stands there twice", s.ID)})
+			found = append(found, &Error{Line: where[table+".id"], Text: fmt.Sprintf("slope %q stands there twice", s.ID)})
 		}
 		seen[s.ID] = true
 	}
--- a/fleet/capacity/target.go
+++ b/fleet/capacity/target.go
@@ -6,7 +6,6 @@
 package capacity
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"math"
@@ -14,8 +13,7 @@
 	"slices"
 	"strings"
 
-	"github.com/pelletier/go-toml/v2"
-	"github.com/pelletier/go-toml/v2/unstable"
+	"starlingusher/fleet/tomlfile"
 )
 
 const (
@@ -141,33 +139,23 @@
 }
 
 // Error is what is wrong with a file, and where.
-type Error struct {
-	Line int // 0: of the whole file
-	Text string
-}
-
-func (e *Error) Error() string {
-	if e.Line == 0 {
-		return e.Text
-	}
-	return fmt.Sprintf("line %d: %s", e.Line, e.Text)
-}
+type Error = tomlfile.Error
 
 // ParseTarget reads a target. Each setting has to be there, and be more than 0; a share is at most 1. Its errors are
 // of type *Error, all that were found, joined.
 func ParseTarget(text []byte) (Target, error) {
 	var t Target
-	if err := decode(text, &t); err != nil {
+	if err := tomlfile.Decode(text, &t, unknown); err != nil {
 		return t, err
 	}
-	where := lines(text)
+	where := tomlfile.Lines(text)
 	var found []error
 	bad := func(name, format string, args ...any) {
 		line := where[name]
 		if table, _, _ := strings.Cut(name, "."); line == 0 {
 			line = where[table] // that it is missing from, or that stands on one line
 		}
-		found = append(found, &Error{line, name + fmt.Sprintf(format, args...)})
+		found = append(found, &Error{Line: line, Text: name + fmt.Sprintf(format, args...)})
 	}
 	names := map[string]bool{}
 	tables := reflect.ValueOf(t)
@@ -191,70 +179,13 @@
 	}
 	for _, name := range t.Guessed {
 		if !names[name] {
-			found = append(found, &Error{where["guessed"], fmt.Sprintf("guessed: there is no setting %q", name)})
+			found = append(found, &Error{Line: where["guessed"], Text: fmt.Sprintf("guessed: there is no setting %q", name)})
 		}
 	}
 	return t, errors.Join(found...)
 }
 
-// decode reads TOML strictly.
-func decode(text []byte, into any) error {
-	d := toml.NewDecoder(bytes.NewReader(text))
-	d.DisallowUnknownFields()
-	err := d.Decode(into)
-	var strict *toml.StrictMissingError
-	var wrong *toml.DecodeError
-	switch {
-	case err == nil:
-		return nil
-	case errors.As(err, &strict):
-		var all []error
-		for _, e := range strict.Errors {
-			row, _ := e.Position()
-			all = append(all, &Error{row, fmt.Sprintf("there is no setting %q", strings.Join(e.Key(), "."))})
-		}
-		return errors.Join(all...)
-	case errors.As(err, &wrong):
-		row, _ := wrong.Position()
-		return &Error{row, strings.TrimPrefix(wrong.Error(), "toml: ")}
-	}
-	return &Error{0, err.Error()}
-}
-
-// lines finds the line of each key, by names like "fleet.nodes" and "slope[1].unit"; the one of an array's table is
-// that of its head. The text has been decoded before.
-func lines(text []byte) map[string]int {
-	where, count, table := map[string]int{}, map[string]int{}, ""
-	var p unstable.Parser
-	p.Reset(text)
-	for p.NextExpression() {
-		e := p.Expression()
-		var parts []string
-		line := 0
-		for it := e.Key(); it.Next(); {
-			parts = append(parts, string(it.Node().Data))
-			if line == 0 {
-				line = p.Shape(it.Node().Raw).Start.Line
-			}
-		}
-		name := strings.Join(parts, ".")
-		switch e.Kind {
-		case unstable.Table:
-			table = name
-		case unstable.ArrayTable:
-			table = fmt.Sprintf("%s[%d]", name, count[name])
-			count[name]++
-		case unstable.KeyValue:
-			if table != "" {
-				name = table + "." + name
-			}
-			where[name] = line
-			continue
-		}
-		where[table] = line
-	}
-	return where
-}
+func unknown(name string) string { return fmt.Sprintf("there is no setting %q", name) }
 
 // guesses are those of the names that the target calls guessed.
 func (t Target) guesses(names []string) []string {
--- a/fleet/experiment/check.go
+++ b/fleet/experiment/check.go
@@ -7,82 +7,15 @@
 	"strings"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
-	"github.com/pelletier/go-toml/v2/unstable"
-
 	"starlingusher/fleet/partner"
+	"starlingusher/fleet/tomlfile"
 )
 
 // Error is what is wrong with an experiment, and where.
-type Error struct {
-	Line int // 0: not known
-	Text string
-}
-
-func (e *Error) Error() string {
-	if e.Line == 0 {
-		return e.Text
-	}
-	return fmt.Sprintf("line %d: %s", e.Line, e.Text)
-}
-
-func decodeError(err error) error {
-	var strict *toml.StrictMissingError
-	if errors.As(err, &strict) {
-		var all []error
-		for _, e := range strict.Errors {
-			row, _ := e.Position()
-			all = append(all, &Error{row, fmt.Sprintf("the name %q is not known here; see `cottonrack lab kinds` and the page on experiments",
-				strings.Join(e.Key(), "."))})
-		}
-		return errors.Join(all...)
-	}
-	var decode *toml.DecodeError
-	if errors.As(err, &decode) {
-		row, _ := decode.Position()
-		return &Error{row, strings.TrimPrefix(decode.Error(), "toml: ")}
-	}
-	return &Error{0, err.Error()}
-}
+type Error = tomlfile.Error
 
-// lines finds the line of each key, by names like "fault[1].kind"; a table has the line of its head.
-func lines(text []byte) map[string]int {
-	where := map[string]int{}
-	count := map[string]int{}
-	at := func(n *unstable.Node, p *unstable.Parser) (string, int) {
-		var parts []string
-		line := 0
-		for it := n.Key(); it.Next(); {
-			k := it.Node()
-			parts = append(parts, string(k.Data))
-			if line == 0 {
-				line = p.Shape(k.Raw).Start.Line
-			}
-		}
-		return strings.Join(parts, "."), line
-	}
-	var p unstable.Parser
-	p.Reset(text)
-	table := ""
-	for p.NextExpression() {
-		e := p.Expression()
-		name, line := at(e, &p)
-		switch e.Kind {
-		case unstable.Table:
-			table = name
-		case unstable.ArrayTable:
-			table = fmt.Sprintf("%s[%d]", name, count[name])
-			count[name]++
-		case unstable.KeyValue:
-			if table != "" {
-				name = table + "." + name
-			}
-			where[name] = line
-			continue
-		}
-		where[table] = line
-	}
-	return where
+func unknown(name string) string {
+	return fmt.Sprintf("the name %q is not known here; see `cottonrack lab kinds` and the page on experiments", name)
 }
 
 // check looks at what the form alone does not tell.
@@ -94,7 +27,7 @@
 			key = key[:strings.LastIndex(key, ".")]
 			line = where[key]
 		}
-		found = append(found, &Error{line, fmt.Sprintf(text, args...)})
+		found = append(found, &Error{Line: line, Text: fmt.Sprintf(text, args...)})
 	}
 	number := func(key string, n Number, low, high float64) {
 		if !n.within(low, high) {
--- a/fleet/experiment/file.go
+++ b/fleet/experiment/file.go
@@ -4,12 +4,11 @@
 package experiment
 
 import (
-	"bytes"
 	"fmt"
 	"reflect"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
+	"starlingusher/fleet/tomlfile"
 )
 
 // File is an experiment as it is written. A value left out has the default that Parse gives it.
@@ -203,12 +202,10 @@
 // Parse reads and checks an experiment. Its errors are of type *Error, all that were found, joined.
 func Parse(text []byte) (File, error) {
 	f := defaults()
-	dec := toml.NewDecoder(bytes.NewReader(text))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&f); err != nil {
-		return f, decodeError(err)
+	if err := tomlfile.Decode(text, &f, unknown); err != nil {
+		return f, err
 	}
-	where := lines(text)
+	where := tomlfile.Lines(text)
 	for i := range f.Partners { // what the group leaves out has the defaults
 		f.Partners[i] = withDefaults(f.Partners[i], func(name string) bool { return where[fmt.Sprintf("partner[%d].%s", i, name)] > 0 })
 	}
--- /dev/null
+++ b/fleet/tomlfile/tomlfile.go
@@ -0,0 +1,84 @@
+// Package tomlfile reads TOML strictly, and says of all that is wrong in which line it stands: also of values that are well formed and
+// can't be, which only the reader of a file knows.
+package tomlfile
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// Error is what is wrong with a file, and where.
+type Error struct {
+	Line int // 0: not known, or of the whole file
+	Text string
+}
+
+func (e *Error) Error() string {
+	if e.Line == 0 {
+		return e.Text
+	}
+	return fmt.Sprintf("line %d: %s", e.Line, e.Text)
+}
+
+// Decode reads a text over what into points to. Its errors are of type *Error, all that were found, joined; unknown words the one of a
+// name that into has no place for.
+func Decode(text []byte, into any, unknown func(name string) string) error {
+	err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(into)
+	var strict *toml.StrictMissingError
+	var wrong *toml.DecodeError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &strict):
+		var all []error
+		for _, e := range strict.Errors {
+			row, _ := e.Position()
+			all = append(all, &Error{row, unknown(strings.Join(e.Key(), "."))})
+		}
+		return errors.Join(all...)
+	case errors.As(err, &wrong):
+		row, _ := wrong.Position()
+		return &Error{row, strings.TrimPrefix(wrong.Error(), "toml: ")}
+	}
+	return &Error{0, err.Error()}
+}
+
+// Lines finds the line of each key of a text that Decode has read, by names like "fault[1].kind"; a table has the line of its head.
+func Lines(text []byte) map[string]int {
+	where, count, table := map[string]int{}, map[string]int{}, ""
+	var p unstable.Parser
+	p.Reset(text)
+	for p.NextExpression() {
+		e := p.Expression()
+		var parts []string
+		line := 0
+		for it := e.Key(); it.Next(); {
+			k := it.Node()
+			parts = append(parts, string(k.Data))
+			if line == 0 {
+				line = p.Shape(k.Raw).Start.Line
+			}
+		}
+		name := strings.Join(parts, ".")
+		switch e.Kind {
+		case unstable.Table:
+			table = name
+		case unstable.ArrayTable:
+			table = fmt.Sprintf("%s[%d]", name, count[name])
+			count[name]++
+		case unstable.KeyValue:
+			if table != "" {
+				name = table + "." + name
+			}
+			where[name] = line
+			continue
+		}
+		where[table] = line
+	}
+	return where
+}
--- a/internal/lab/scale/file.go
+++ b/internal/lab/scale/file.go
@@ -1,7 +1,6 @@
 package scale
 
 import (
-	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
@@ -13,10 +12,7 @@
 	"strings"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
-	"github.com/pelletier/go-toml/v2/unstable"
-
-	"starlingusher/fleet/experiment"
+	"starlingusher/fleet/tomlfile"
 	"starlingusher/internal/lab/scale/play"
 )
 
@@ -89,19 +85,17 @@
 	return err
 }
 
-// Parse reads and checks a file against the axes that there are. Its errors are of type *experiment.Error, all that were found, joined.
+// Parse reads and checks a file against the axes that there are. Its errors are of type *tomlfile.Error, all that were found, joined.
 func Parse(raw []byte, axes []play.Axis) (File, error) {
 	t := text{Plays: 3, Seed: 1, Limit: span(2 * time.Minute)}
-	dec := toml.NewDecoder(bytes.NewReader(raw))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&t); err != nil {
-		return File{}, decodeError(err)
+	if err := tomlfile.Decode(raw, &t, unknown); err != nil {
+		return File{}, err
 	}
 	sum := sha256.Sum256(raw)
 	f := File{
 		Name: t.Name, About: t.About, Points: t.Points, Plays: t.Plays, Seed: uint64(t.Seed), Limit: time.Duration(t.Limit), Hash: hex.EncodeToString(sum[:]),
 	}
-	where := keyLines(raw)
+	where := tomlfile.Lines(raw)
 	var found []error
 	bad := func(key, form string, args ...any) {
 		line := where[key]
@@ -109,7 +103,7 @@
 			key = key[:strings.LastIndex(key, ".")]
 			line = where[key]
 		}
-		found = append(found, &experiment.Error{Line: line, Text: fmt.Sprintf(form, args...)})
+		found = append(found, &tomlfile.Error{Line: line, Text: fmt.Sprintf(form, args...)})
 	}
 	if !nameForm.MatchString(t.Name) {
 		bad("name", "name is of small letters, digits and dashes, since the results' files are called so")
@@ -175,61 +169,9 @@
 
 var nameForm = regexp.MustCompile(`^[a-z0-9][a-z0-9-]*$`)
 
-func decodeError(err error) error {
-	var strict *toml.StrictMissingError
-	if errors.As(err, &strict) {
-		var all []error
-		for _, e := range strict.Errors {
-			row, _ := e.Position()
-			key := strings.Join(e.Key(), ".")
-			why := fmt.Sprintf("the name %q is not known here; see docs/scale.md", key)
-			if key == "form" {
-				why = "the form of a slope is tested, not given"
-			}
-			all = append(all, &experiment.Error{Line: row, Text: why})
-		}
-		return errors.Join(all...)
-	}
-	var decode *toml.DecodeError
-	if errors.As(err, &decode) {
-		row, _ := decode.Position()
-		return &experiment.Error{Line: row, Text: strings.TrimPrefix(decode.Error(), "toml: ")}
-	}
-	return &experiment.Error{Text: err.Error()}
-}
-
-// keyLines finds the line of each key, by names like "expect[1].id"; a table has the line of its head.
-func keyLines(raw []byte) map[string]int {
-	where, count := map[string]int{}, map[string]int{}
-	var p unstable.Parser
-	p.Reset(raw)
-	table := ""
-	for p.NextExpression() {
-		e := p.Expression()
-		var parts []string
-		line := 0
-		for it := e.Key(); it.Next(); {
-			k := it.Node()
-			parts = append(parts, string(k.Data))
-			if line == 0 {
-				line = p.Shape(k.Raw).Start.Line
-			}
-		}
-		name := strings.Join(parts, ".")
-		switch e.Kind {
-		case unstable.Table:
-			table = name
-		case unstable.ArrayTable:
-			table = fmt.Sprintf("%s[%d]", name, count[name])
-			count[name]++
-		case unstable.KeyValue:
-			if table != "" {
-				name = table + "." + name
-			}
-			where[name] = line
-			continue
-		}
-		where[table] = line
+func unknown(name string) string {
+	if name == "form" {
+		return "the form of a slope is tested, not given"
 	}
-	return where
+	return fmt.Sprintf("the name %q is not known here; see docs/scale.md", name)
 }
