Scale: one measure of the module by destinations, the axis that is played

Need: burden.Module was written for the hollow plays, which have their own on the axis module with a node's settings; nothing called it.

--- a/internal/lab/scale/burden/burden_test.go
+++ b/internal/lab/scale/burden/burden_test.go
@@ -200,17 +200,6 @@
 	}
 }
 
-func TestModuleOfDestinations(t *testing.T) {
-	few, whole, change := Module(500, 1.7, 1)
-	many, _, _ := Module(4000, 1.7, 1)
-	if few <= 0 || whole <= 0 || change <= 0 {
-		t.Errorf("%v B, %v s, %v s", few, whole, change)
-	}
-	if ratio := many / few; ratio < 6 || ratio > 10 { // maps grow in steps
-		t.Errorf("eight times the destinations hold %.1f times the bytes", ratio)
-	}
-}
-
 // program builds coralyard.
 func program(t *testing.T) string {
 	t.Helper()
--- a/internal/lab/scale/hollow/hollow_test.go
+++ b/internal/lab/scale/hollow/hollow_test.go
@@ -425,6 +425,22 @@
 	plays(t, axis(t, "module"), 2000, map[string]float64{"changes": 3}, "module.destinations.heap")
 }
 
+// It plays apart from the others, whose memory is this process's too.
+func TestModuleOfDestinations(t *testing.T) {
+	read := func(destinations float64) map[string]float64 {
+		return plays(t, axis(t, "module"), destinations, map[string]float64{"changes": 3}, "module.destinations.heap").Values
+	}
+	few, many := read(500), read(4000)
+	for _, id := range []string{"module.destinations.heap", "module.list.step", "module.change.step"} {
+		if few[id] <= 0 {
+			t.Errorf("%s is %v", id, few[id])
+		}
+	}
+	if ratio := many["module.destinations.heap"] / few["module.destinations.heap"]; ratio < 6 || ratio > 10 { // maps grow in steps
+		t.Errorf("eight times the destinations hold %.1f times the bytes", ratio)
+	}
+}
+
 // While nothing changes a watch carries a heartbeat of 6 bytes each 2 s, whatever the machine does.
 func TestNodes(t *testing.T) {
 	t.Parallel()
