--- a/internal/lab/scale/hollow/destinations.go
+++ b/internal/lab/scale/hollow/destinations.go
@@ -120,23 +120,13 @@
 	if err := spec.Write(); err != nil {
 		return r, err
 	}
-	settle()
-	heap0 := heap()
-	rss0, err := rss(own)
+	n, err := newAlone(spec, log)
 	if err != nil {
 		return r, err
 	}
-	n, err := New(spec, log)
-	if err != nil {
-		return r, err
-	}
-	loop := watchLoop(n.Node)
-	began := time.Now()
-	n.Run()
-	defer func() {
-		loop.close()
-		err = errors.Join(err, n.Close())
-	}()
+	loop := n.loop
+	n.run()
+	defer func() { err = n.close(err) }()
 	took := false
 	err = await(ctx, "the first list", func() bool {
 		at, _ := n.Told()
@@ -156,7 +146,7 @@
 		}
 		return r, err
 	}
-	r.Count("ready", time.Since(began).Seconds())
+	r.Count("ready", time.Since(n.began).Seconds())
 	bytes, err := carried(map[string]bool{t.address: true}, t.from)
 	if err != nil {
 		return r, err
@@ -201,7 +191,7 @@
 		r.Count("change.bytes", after.sub(bytes).in/float64(len(steps)))
 	}
 	loop.close()
-	empty, err := emptyStep(ctx, n.Node)
+	empty, err := emptyStep(ctx, n.Node.Node)
 	if err != nil {
 		return r, err
 	}
@@ -214,12 +204,9 @@
 		}
 		r.Value("directory.destinations.rss", use.rss[0])
 	}
-	rss1, err := rss(own)
-	if err != nil {
+	if err := n.read(&r, "node.destinations"); err != nil {
 		return r, err
 	}
-	r.Value("node.destinations.rss", rss1-rss0)
-	r.Value("node.destinations.heap", heap()-heap0)
 	if _, have := n.Told(); have != endpoints {
 		return r, fmt.Errorf("the node has %d endpoints, the list %d", have, endpoints)
 	}
--- a/internal/lab/scale/hollow/owned.go
+++ b/internal/lab/scale/hollow/owned.go
@@ -225,17 +225,11 @@
 	if err := spec.Write(); err != nil {
 		return r, err
 	}
-	settle()
-	heap0 := heap()
-	rss0, err := rss(own)
+	n, err := newAlone(spec, log)
 	if err != nil {
 		return r, err
 	}
-	n, err := New(spec, log)
-	if err != nil {
-		return r, err
-	}
-	loop := watchLoop(n.Node)
+	loop := n.loop
 	asksList := func(path string) bool {
 		return strings.HasPrefix(path, "/registry/") && strings.HasSuffix(path, "&partitions="+of.set.String())
 	}
@@ -251,12 +245,8 @@
 			})
 		}
 	})
-	began := time.Now()
-	n.Run()
-	defer func() {
-		loop.close()
-		err = errors.Join(err, n.Close())
-	}()
+	n.run()
+	defer func() { err = n.close(err) }()
 	err = await(ctx, "the first list of the share", func() bool {
 		at, have := n.Told()
 		return at >= st.Revision && have == len(of.mine)
@@ -264,7 +254,7 @@
 	if err != nil {
 		return r, err
 	}
-	r.Count("ready", time.Since(began).Seconds())
+	r.Count("ready", time.Since(n.began).Seconds())
 	if err := loop.after(ctx, 1); err != nil {
 		return r, err
 	}
@@ -342,7 +332,7 @@
 		r.Count("idle.bytes_s", (still-idle)/time.Since(began).Seconds())
 	}
 	loop.close()
-	empty, err := emptyStep(ctx, n.Node)
+	empty, err := emptyStep(ctx, n.Node.Node)
 	if err != nil {
 		return r, err
 	}
@@ -353,15 +343,12 @@
 		return r, err
 	}
 	r.Count("directory.rss", use.rss[0])
-	rss1, err := rss(own)
-	if err != nil {
+	if err := n.read(&r, "owned.destinations"); err != nil {
 		return r, err
 	}
-	r.Value("owned.destinations.rss", rss1-rss0)
-	r.Value("owned.destinations.heap", heap()-heap0)
 
 	// The truth: the node's count, the directory's list of the share, and the list that the node has kept.
-	barrable, err := remembered(ctx, n, of)
+	barrable, err := remembered(ctx, n.Node, of)
 	if err != nil {
 		return r, err
 	}
