--- a/choice/types.go
+++ b/choice/types.go
@@ -85,6 +85,19 @@
 	Stale
 )
 
+var outcomeNames = [...]string{
+	Success: "success", ServerError: "server error", Rejected: "rejected", TimedOut: "timed out", Unreachable: "unreachable",
+	ConnectionBroken: "connection broken", Canceled: "canceled", Stale: "stale",
+}
+
+// String returns the name of the outcome.
+func (o Outcome) String() string {
+	if int(o) < len(outcomeNames) {
+		return outcomeNames[o]
+	}
+	return "unknown"
+}
+
 // Report is what an endpoint reports about its limit. The flag of a missing value is false.
 type Report struct {
 	Left, Limit       float64 // remaining share of the limit; the limit in calls a second, 0 for none
--- a/cmd/coralyard/main.go
+++ b/cmd/coralyard/main.go
@@ -17,13 +17,22 @@
 )
 
 func main() {
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: logLevel(os.Getenv("ROUTER_LOG"))}))
 	if err := run(log); err != nil {
 		log.Error("coralyard failed", "err", err)
 		os.Exit(1)
 	}
 }
 
+// logLevel parses the name of a log level; any other text means slog.LevelInfo.
+func logLevel(name string) slog.Level {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(name)); err != nil {
+		return slog.LevelInfo
+	}
+	return level
+}
+
 func run(log *slog.Logger) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"os"
 	"slices"
@@ -292,6 +293,8 @@
 	readAt       time.Time // when the last bytes arrived
 	finalReads   int
 	answered     bool           // a reply was sent or queued
+	replies      int            // number of replies sent or queued
+	discarded    int64          // bytes that were read and ignored after this side ended its sending
 	evicted      bool           // other clients wait for its slot
 	requestBegan time.Time      // when its request began
 	element      *queue.Element // in one of the server's lists
@@ -334,12 +337,29 @@
 func (c *clientConn) queueReply(line string) error {
 	c.unsent = append(c.unsent, line...)
 	c.answered = true
+	c.replies++
 	if len(c.unsent) < maxUnsent {
 		return nil
 	}
 	return c.flush()
 }
 
+// closeReason tells why a client's connection ended.
+type closeReason string
+
+const (
+	closedByClient     closeReason = "closed by the client"
+	closedIdle         closeReason = "idle for too long"
+	closedEvicted      closeReason = "evicted"
+	closedShutdown     closeReason = "the node shuts down"
+	closedBadRequest   closeReason = "not a proper request"
+	closedSlowRequest  closeReason = "the request took too long"
+	closedReadFailed   closeReason = "read failed"
+	closedWriteFailed  closeReason = "the reply could not be written"
+	closedNoAnswer     closeReason = "the outcome is unknown"
+	closedCannotFollow closeReason = "no deadline can be set"
+)
+
 // The lists of connections, in the order in which connections are evicted from them.
 const (
 	connClosing = iota // being closed by this side
@@ -357,6 +377,7 @@
 	acceptDone    chan struct{} // closed when no more connections are accepted
 	names         wire.Names
 	handle        func(request) answer
+	log           *slog.Logger
 
 	reconnectTime, requestTimeout time.Duration // the constants of these names, except in tests
 
@@ -372,7 +393,7 @@
 func newClientServer(listener net.Listener, maxConns int, names wire.Names, handle func(request) answer) *clientServer {
 	return &clientServer{
 		listener: listener, slots: make(chan struct{}, max(maxConns, 1)), maxIdle: max(maxConns/3, 1), stopAccepting: make(chan struct{}), acceptDone: make(chan struct{}),
-		names: names, handle: handle, conns: map[*clientConn]bool{}, reconnectTime: reconnectTime, requestTimeout: requestTimeout,
+		names: names, handle: handle, log: slog.New(slog.DiscardHandler), conns: map[*clientConn]bool{}, reconnectTime: reconnectTime, requestTimeout: requestTimeout,
 	}
 }
 
@@ -399,6 +420,7 @@
 		nc, err := s.listener.Accept()
 		if err != nil {
 			<-s.slots
+			s.log.Debug("no connection accepted", "err", err)
 			switch {
 			case errors.Is(err, os.ErrDeadlineExceeded) && !draining: // the node shuts down; connections that have arrived by now are served
 				draining = s.acceptUntil(time.Now().Add(finalReadTimeout)) == nil
@@ -510,33 +532,35 @@
 	}
 }
 
+// serveConn serves a connection until it ends.
 func (s *clientServer) serveConn(nc net.Conn) {
 	c := &clientConn{Conn: nc}
 	s.mu.Lock()
 	s.conns[c] = true
 	s.mu.Unlock()
-	defer func() {
-		s.mu.Lock()
-		s.removeFromList(c)
-		delete(s.conns, c)
-		s.mu.Unlock()
-		nc.Close()
-	}()
+	reason, err := s.serveRequests(c)
+	s.mu.Lock()
+	s.removeFromList(c)
+	delete(s.conns, c)
+	s.mu.Unlock()
+	nc.Close()
+	s.log.Debug("connection closed", "client", nc.RemoteAddr(), "reason", reason, "replies", c.replies, "discarded", c.discarded, "err", err)
+}
+
+// serveRequests answers the requests of a connection until it ends, and returns why it ended.
+func (s *clientServer) serveRequests(c *clientConn) (closeReason, error) {
 	r := bufio.NewReaderSize(c, 4096)
 	for {
 		if r.Buffered() == 0 && !s.markIdle(c) {
-			s.closeWithLinger(c) // the node shuts down
-			return
+			s.closeWithLinger(c)
+			return closedShutdown, nil
 		}
 		if _, err := r.Peek(1); err != nil {
-			if errors.Is(err, os.ErrDeadlineExceeded) {
-				s.closeWithLinger(c)
-			}
-			return
+			return s.endIdle(c, err)
 		}
 		receivedAt := c.readAt
 		if !s.markReading(c) {
-			return
+			return closedCannotFollow, nil
 		}
 		args, err := readCommand(r)
 		s.markRead(c)
@@ -546,23 +570,52 @@
 			reply = s.execute(args, receivedAt)
 		case errors.Is(err, errTooLarge):
 			reply = answer{failure: err.Error()}.encode()
-		case errors.Is(err, errProtocol), errors.Is(err, os.ErrDeadlineExceeded):
-			if !errors.Is(err, errProtocol) {
-				err = fmt.Errorf("%w: the request took too long", errProtocol)
-			}
-			if c.queueReply(answer{failure: err.Error()}.encode()) == nil {
-				s.closeWithLinger(c)
-			}
-			return
-		default:
-			return // the client disconnected inside a request
+		case errors.Is(err, errProtocol):
+			s.rejectRequest(c, err)
+			return closedBadRequest, err
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			s.rejectRequest(c, fmt.Errorf("%w: the request took too long", errProtocol))
+			return closedSlowRequest, err
+		default: // the client disconnected inside a request
+			return closedReadFailed, err
+		}
+		if reply == "" {
+			return closedNoAnswer, nil
 		}
-		if reply == "" || c.queueReply(reply) != nil {
-			return
+		if err := c.queueReply(reply); err != nil {
+			return closedWriteFailed, err
 		}
 	}
 }
 
+// endIdle ends a connection whose read between two requests has failed.
+func (s *clientServer) endIdle(c *clientConn, err error) (closeReason, error) {
+	switch {
+	case errors.Is(err, io.EOF):
+		return closedByClient, nil
+	case !errors.Is(err, os.ErrDeadlineExceeded):
+		return closedReadFailed, err
+	}
+	s.mu.Lock()
+	reason := closedIdle
+	switch {
+	case s.closing:
+		reason = closedShutdown
+	case c.evicted:
+		reason = closedEvicted
+	}
+	s.mu.Unlock()
+	s.closeWithLinger(c)
+	return reason, nil
+}
+
+// rejectRequest answers a request that can't be read, and ends its connection.
+func (s *clientServer) rejectRequest(c *clientConn, err error) {
+	if c.queueReply(answer{failure: err.Error()}.encode()) == nil {
+		s.closeWithLinger(c)
+	}
+}
+
 // execute runs one command and returns the reply.
 func (s *clientServer) execute(args [][]byte, receivedAt time.Time) string {
 	switch strings.ToUpper(string(args[0])) {
@@ -604,7 +657,7 @@
 	err := c.SetReadDeadline(time.Now().Add(timeout))
 	s.mu.Unlock()
 	if err == nil {
-		io.Copy(io.Discard, io.LimitReader(c.Conn, maxSkipped)) // errors don't matter, as the connection ends next
+		c.discarded, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, maxSkipped)) // errors don't matter, as the connection ends next
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -130,6 +130,9 @@
 	}
 )
 
+// errNoRoom reports that the node holds as many messages as its settings allow.
+var errNoRoom = errors.New("the node holds as many messages as it may")
+
 // ErrUnknownEndpoint reports that no endpoint of that ID was ever listed.
 var ErrUnknownEndpoint = errors.New("no endpoint of this ID was ever listed")
 
@@ -245,6 +248,7 @@
 	n.log.Info("serving", "sockets", n.cfg.Limits.Sockets, "memory_mb", n.cfg.Limits.MemoryMB, "disk_mb", n.cfg.Limits.DiskMB,
 		"cores", n.cfg.Limits.Cores, "slots", n.cfg.Settings.Slots, "max_open", n.cfg.Settings.MaxOpen)
 	clients := newClientServer(ln, n.cfg.Limits.Sockets/clientSocketsDivisor, n.cfg.Names, func(q request) answer { return n.submit(runCtx, q) })
+	clients.log = n.log
 	tasks.Go(func() { clients.serve(runCtx) })
 	if n.predecessor != nil {
 		predecessor := n.predecessor
@@ -268,10 +272,12 @@
 			return
 		}
 		n.stage.Store(stageStopping)
+		n.log.Debug("stopping", "calls_end_in", stopAfter, "clients_are_disconnected_in", disconnectAfter)
 		stopBy := time.Now().Add(stopAfter)
 		n.sendEvent(runCtx, choice.Stopping{By: n.moduleTime(stopBy)})
 		registry.Sleep(runCtx, disconnectAfter)
 		clients.close(shutdownGrace) // the loop, which still runs, answers clients in the middle of a request
+		n.log.Debug("clients are disconnected", "after", time.Since(stopBy)+stopAfter)
 		registry.Sleep(runCtx, time.Until(stopBy))
 	})
 	n.loop(runCtx, stopped)
@@ -296,6 +302,7 @@
 	if n.successor != nil {
 		return err
 	}
+	n.log.Debug("stopped", "messages_in_journal", len(n.messages), "notices_owed", len(n.owedNotices))
 	err = n.journal.close()
 	if n.lock != nil {
 		err = errors.Join(err, n.lock.Close())
@@ -546,6 +553,7 @@
 			events = append(events, n.callEnded(e)...)
 		case noticesTaken:
 			for _, answered := range e {
+				n.log.Debug("notice delivered", "id", answered.ID, "state", answered.State)
 				n.forget(answered.message)
 			}
 		case choice.Stopping:
@@ -566,7 +574,7 @@
 		})
 		for seq, all := range added {
 			n.forget(n.journal.live[seq])
-			added.reply(seq, n.refuse(all[0]))
+			added.reply(seq, n.refuse(all[0], errJournalUnavailable))
 		}
 		added = nil
 	}
@@ -594,15 +602,16 @@
 		a.reply <- answer{failure: "unknown destination"}
 		return nil
 	case n.cfg.Settings.MaxOpen > 0 && n.openMessages >= n.cfg.Settings.MaxOpen:
-		a.reply <- n.refuse(a)
+		a.reply <- n.refuse(a, errNoRoom)
 		return nil
 	}
 	m, err := n.journal.accept(
 		&pendingMessage{id: a.id, key: a.key, class: a.class, tenant: a.tenant, dest: a.dest, body: a.body, deadline: a.receivedAt.Add(a.ttl)})
 	if err != nil {
-		a.reply <- n.refuse(a)
+		a.reply <- n.refuse(a, err)
 		return nil
 	}
+	n.log.Debug("message accepted", "id", m.id, "seq", m.seq, "class", m.class, "dest", m.dest, "ttl", a.ttl)
 	if n.ownership != nil {
 		n.ownership.trackDeadline(m)
 	}
@@ -612,8 +621,10 @@
 	return m
 }
 
-// refuse returns the answer to a request that the node has no room for. The module does not learn of it.
-func (n *Node) refuse(a arrival) answer {
+// refuse returns the answer to a request that the node can't accept for a reason. The module does not learn
+// of it.
+func (n *Node) refuse(a arrival, reason error) answer {
+	n.log.Debug("request refused", "id", a.id, "class", a.class, "dest", a.dest, "reason", reason)
 	return answer{refused: true, retryAfter: n.sender.RetryAfterIfFull(a.class, a.dest)}
 }
 
@@ -782,6 +793,8 @@
 				n.journal.add(outcomeRecord(recordFailed, key.seq, key.number))
 			}
 		}
+		n.log.Debug("attempt ended", "id", m.id, "seq", key.seq, "attempt", key.number, "endpoint", e.endpoint.id, "outcome", res.outcome, "final", res.final,
+			"ambiguous", res.ambiguous, "took", e.took, "retry_after", e.retryAfter)
 		if res.final && m.final == nil {
 			if res.outcome == choice.Success {
 				countClass(n.metrics.ok, m.class)
@@ -880,6 +893,8 @@
 	if m == nil || m.final != nil {
 		return
 	}
+	n.log.Debug("message ended", "id", m.id, "seq", m.seq, "failed", final.failed, "retry_after", final.retryAfter, "attempts", len(m.attempts),
+		"time_left", time.Until(m.deadline), "on_arrival", added[m.seq] != nil)
 	if all, ok := added[m.seq]; ok {
 		delete(added, m.seq)
 		n.forget(m)
@@ -920,6 +935,7 @@
 		e.closed.Store(true)
 	}
 	key := attemptKey{m.seq, len(m.attempts)}
+	n.log.Debug("attempt", "id", m.id, "seq", m.seq, "attempt", key.number, "endpoint", a.Endpoint, "call", a.Call, "new_connection", a.NewConn)
 	n.journal.add(attemptRecord(m.seq, time.Now(), e.zone))
 	it := item{m.id, m.key, m.body}
 	o := calls[a.Call]
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -1062,7 +1062,7 @@
 	names := wire.Names{Classes: []string{"status"}, Tenants: []string{"acme", "zen"}}
 	dir := t.TempDir()
 	j := openTestJournal(t, dir, 3)
-	n := &Node{clockStart: time.Now(), journal: j, messages: map[string]*pendingMessage{}, sender: choice.New(choice.Settings{}, 1)}
+	n := &Node{log: slog.New(slog.DiscardHandler), clockStart: time.Now(), journal: j, messages: map[string]*pendingMessage{}, sender: choice.New(choice.Settings{}, 1)}
 	n.sender.Step(n.now(), []choice.Event{choice.ListUpdate{Entries: []choice.Entry{{Endpoint: "e", Dest: 7}}}})
 	want := map[string]int{"acme": 0, "zen": 1, "": -1, "other": -1}
 	for tenant, place := range want {
