Node test: TestRetryAfterIsHonored sends the second message after the rejection is read

Seen: 5 of 72 and 13 of 160 runs failed in eight processes at once: a call that crossed the 429 is allowed by the test's comment, and refused by its bound. Cause: the second message could be sent before the node had read the rejection, so the test raced with an allowed case. Change: the test waits for the debug line of the rejection, so no call can cross it, and holds the whole wait instead of the wait less 100 ms, from before the answer is written. Stricter than before.

--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -315,19 +315,22 @@
 		mu.Lock()
 		defer mu.Unlock()
 		if rejectedAt.IsZero() {
-			io.WriteString(nc, "HTTP/1.1 429 No\r\nRetry-After: 0.7\r\nContent-Length: 0\r\n\r\n")
 			rejectedAt = time.Now()
+			io.WriteString(nc, "HTTP/1.1 429 No\r\nRetry-After: 0.7\r\nContent-Length: 0\r\n\r\n")
 			return true
 		}
-		if early := wait - 100*time.Millisecond - time.Since(rejectedAt); early > 0 { // tolerates calls that cross the answer on their way
+		if early := wait - time.Since(rejectedAt); early > 0 {
 			t.Errorf("a call came %v early", early)
 		}
 		return respondWith(okResponse)(nc, nil)
 	})
 	r := newFakeRegistry(t)
-	addr, _ := startNode(t, r, t.TempDir(), memberJSON("e", p.addr(), 7, "SERVING"))
+	var logs logLines
+	debugLog := slog.New(slog.NewTextHandler(&logs, &slog.HandlerOptions{Level: slog.LevelDebug}))
+	addr, _ := startInspectedNode(t, r, t.TempDir(), func(n *Node) { n.log = debugLog }, memberJSON("e", p.addr(), 7, "SERVING"))
 	mustAnswer(t, addr, enqueueCommand("a", payoutFields, ""), "+OK")
 	p.nextRequest(t)
+	eventually(t, "the node has read the rejection", func() bool { return logs.count("retry_after=700ms") > 0 }) // a call before that would be allowed
 	mustAnswer(t, addr, enqueueCommand("b", statusFields, ""), "+OK")
 	p.nextRequest(t)
 	p.nextRequest(t)
