--- a/cmd/coralyard/main_test.go
+++ b/cmd/coralyard/main_test.go
@@ -170,11 +170,12 @@
 	}
 }
 
-// startChild starts the program as a process of a node.
-func startChild(t *testing.T, config, state, admin string) *exec.Cmd {
+// startChild starts the program as a process of a node, with further environment variables.
+func startChild(t *testing.T, config, state, admin string, env ...string) *exec.Cmd {
 	t.Helper()
 	cmd := exec.Command(os.Args[0])
 	cmd.Env = append(os.Environ(), "CORALYARD_TEST_CHILD=1", "ROUTER_STATE="+state, "ROUTER_CONFIG="+config, "ROUTER_ADMIN_ADDR="+admin)
+	cmd.Env = append(cmd.Env, env...)
 	cmd.Stderr = os.Stderr
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
