Node: spans over a restart follow the monotonic clock, so clock steps lose no message

What callers saw: after a restart with the wall clock set back accepted messages had no end; set forward, all that was held ended at once. Class: a span of real time measured by the wall clock. Also there and mended: the wait that an endpoint told (endpoint.waitUntil), which a step back by an hour kept for an hour; a deadline in a handover and of requests passed on; unguardedFrom; ownership's silence of a watch. Change: timestampClock. A handover carries its time as a timestamp too. Older files stay readable.

--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -119,7 +119,7 @@
 }
 
 func newTestEndpoint(addr string) *endpoint {
-	return &endpoint{id: "e", addr: addr, waitUntil: new(atomic.Int64)}
+	return &endpoint{id: "e", addr: addr, wait: new(callWait)}
 }
 
 func newTestPool() *pool { return newPool(2*time.Second, time.Minute, 16) }
@@ -352,7 +352,7 @@
 	p := newFakeEndpoint(t, respondWith(okResponse))
 	drained, waiting := newTestEndpoint(p.addr()), newTestEndpoint(p.addr())
 	drained.closed.Store(true)
-	waiting.waitUntil.Store(time.Now().Add(time.Hour).UnixNano())
+	waiting.wait.extend(time.Now().Add(time.Hour))
 	for _, e := range []*endpoint{drained, waiting} {
 		if got := newTestPool().do(t.Context(), newTestCall(e)); got.outcome != choice.Stale {
 			t.Errorf("got %+v", got)
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -39,14 +39,31 @@
 // endpoint is what calls need to know of an endpoint. The node's event loop writes it, and calls in flight
 // read it.
 type endpoint struct {
-	id, addr  string
-	zone      int
-	maxBatch  int           // maximum number of messages in one call
-	closed    atomic.Bool   // it drains, has left the list or is disabled by an operator
-	waitUntil *atomic.Int64 // Unix time in nanoseconds; no calls until then, as an answer of its route has asked; shared by all endpoints of the route
+	id, addr string
+	zone     int
+	maxBatch int         // maximum number of messages in one call
+	closed   atomic.Bool // it drains, has left the list or is disabled by an operator
+	wait     *callWait   // shared by all endpoints of the route
 }
 
 // closedAt reports whether no new call may be made to the endpoint at a given time.
 func (e *endpoint) closedAt(now time.Time) bool {
-	return e.closed.Load() || now.UnixNano() < e.waitUntil.Load()
+	return e.closed.Load() || now.Before(e.wait.end())
+}
+
+// callWait is the time until which a route gets no calls, as an answer of it has asked. It is safe for
+// concurrent use.
+type callWait struct{ until atomicTime }
+
+// end returns when the wait ends; the zero time if there never was one.
+func (w *callWait) end() time.Time { return w.until.Load() }
+
+// extend makes the wait last until a time with a monotonic reading, unless it lasts longer already.
+func (w *callWait) extend(until time.Time) {
+	for {
+		current := w.until.value.Load()
+		if current != nil && !until.After(*current) || w.until.value.CompareAndSwap(current, &until) {
+			return
+		}
+	}
 }
--- a/internal/node/formats_a_test.go
+++ b/internal/node/formats_a_test.go
@@ -78,6 +78,25 @@
 	}
 }
 
+// The record of the clock gives later processes of the same boot the base of the timestamps. To an older build it
+// is the record of an endpoint that can't be read, which is skipped.
+func TestJournalClockFormat(t *testing.T) {
+	base := clockBase{bootID: "5cba995d-7b5f-4099-8776-ea89bc34c8b2", offset: 1_700_000_000_123_456 * time.Microsecond}
+	file := golden.Check(t, "journal_clock.bin", appendRecord(nil, clockRecord(base)))
+	payload := recordPayload(file)
+	j := &journal{live: map[uint64]*pendingMessage{}}
+	j.apply(payload)
+	if j.storedClockBase != base {
+		t.Errorf("got %+v, want %+v", j.storedClockBase, base)
+	}
+	old := &payloadReader{rest: payload[1:]}
+	old.uvarint()
+	old.bytes()
+	if !old.bad {
+		t.Error("an older build reads the record as that of an endpoint")
+	}
+}
+
 // An older build's record of a message ends before the tenant.
 func TestJournalRecordWithoutTenant(t *testing.T) {
 	m := &pendingMessage{seq: 1, id: "id", key: "key", class: 1, dest: 7, body: []byte("body"), deadline: time.UnixMicro(1)}
--- a/internal/node/formats_b_test.go
+++ b/internal/node/formats_b_test.go
@@ -19,7 +19,7 @@
 	var filled handoverMessage
 	golden.Fill(&filled)
 	empty := handoverMessage{State: &handoverState{}, Outcome: &callOutcome{Attempts: []outstandingAttempt{{}}, PerItem: []itemOutcome{{}}}, Request: &forwardedRequest{}, Command: &forwardedCommand{}, Answer: &forwardedAnswer{}}
-	for name, m := range map[string]handoverMessage{"handover_filled.json": filled, "handover_empty.json": empty, "handover_null.json": {}} {
+	for name, m := range map[string]handoverMessage{"handover_filled_timestamp.json": filled, "handover_empty.json": empty, "handover_null.json": {}} {
 		encoded, err := json.MarshalIndent(m, "", " ")
 		if err != nil {
 			t.Fatal(err)
@@ -34,6 +34,21 @@
 	}
 }
 
+// A build without handoverState.Timestamp sends the time by the wall clock alone.
+func TestHandoverMessageWithoutTimestamp(t *testing.T) {
+	raw, err := os.ReadFile(filepath.Join("testdata", "formats", "handover_filled.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var decoded handoverMessage
+	if err := json.Unmarshal(raw, &decoded); err != nil {
+		t.Fatal(err)
+	}
+	if s := decoded.State; s == nil || s.At.IsZero() || s.Clock == 0 || !s.Timestamp.IsZero() || len(s.Outstanding) != 2 {
+		t.Errorf("decoded %+v", decoded.State)
+	}
+}
+
 // The request line, headers and body of a call with one message and of a batch.
 func TestRequestFormat(t *testing.T) {
 	var items []item
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -13,7 +13,6 @@
 	"path/filepath"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -63,14 +62,15 @@
 // handoverState is what the node knows and the journal does not hold.
 type handoverState struct {
 	Clock       time.Duration // the module's time at the time At
-	At          time.Time
+	At          time.Time     // of the wall clock, which older builds go by
 	Sender      choice.Saved
 	Revision    int64
 	ListSource  string `json:"ToldBy"`     // address of the server that counts Revision
 	History     int64  `json:",omitempty"` // the history of the Revision, if the server names one
 	Members     []catalog.Endpoint
-	Waits       map[string]int64     // by endpoint ID: Unix time in nanoseconds until which it gets no calls; the same for all of a route
+	Waits       map[string]int64     // by endpoint ID: until when it gets no calls, in nanoseconds of Unix time by the wall clock at At; the same for all of a route
 	Outstanding []outstandingAttempt `json:"Out"`
+	Timestamp   time.Time            `json:",omitzero"` // At by the timestampClock; older builds don't send it
 }
 
 // outstandingAttempt identifies an attempt in flight, with what the node needs to know of its message if the
@@ -454,7 +454,11 @@
 // stopped.
 func (n *Node) restore(l *handoverConn, state *handoverState, sender *choice.Sender) {
 	n.sender, n.predecessor = sender, l
-	n.clockStart = time.Now().Add(epoch - state.Clock - time.Since(state.At))
+	handedOverAt := time.Now().Add(-time.Since(state.At))
+	if !state.Timestamp.IsZero() {
+		handedOverAt = n.journal.clock.time(state.Timestamp)
+	}
+	n.clockStart = handedOverAt.Add(epoch - state.Clock)
 	n.cfg.InitialList = catalog.List{Revision: state.Revision, Complete: true, Members: state.Members}
 	n.listPosition = registry.Position{History: state.History, Revision: state.Revision, Server: state.ListSource}
 	if state.History == 0 && !slices.Contains(n.cfg.DiscoveryAddresses(), state.ListSource) { // revisions of another server can't be compared
@@ -462,8 +466,8 @@
 	}
 	n.applyList(n.cfg.InitialList) // the module has the list already
 	for id, waitUntil := range state.Waits {
-		if e := n.endpoints[id]; e != nil {
-			e.waitUntil.Store(max(waitUntil, e.waitUntil.Load()))
+		if e := n.endpoints[id]; e != nil && waitUntil > 0 {
+			e.wait.extend(handedOverAt.Add(time.Unix(0, waitUntil).Sub(state.At)))
 		}
 	}
 	for _, o := range state.Outstanding {
@@ -504,9 +508,12 @@
 	}
 }
 
+// request returns the request with its time on this process's clocks. The predecessor forwards requests at
+// once, so a step of the wall clock meanwhile can't be taken for a long way.
 func (a *forwardedRequest) request() request {
+	age := min(max(time.Since(a.ReceivedAt), 0), handoverTimeout)
 	return request{
-		id: a.ID, key: a.Key, class: a.Class, dest: a.Dest, tenant: a.Tenant, ttl: a.TimeToLive, body: a.Body, receivedAt: a.ReceivedAt,
+		id: a.ID, key: a.Key, class: a.Class, dest: a.Dest, tenant: a.Tenant, ttl: a.TimeToLive, body: a.Body, receivedAt: time.Now().Add(-age),
 	}
 }
 
@@ -514,7 +521,7 @@
 func (n *Node) predecessorCallEnded(o callOutcome) []choice.Event {
 	e := n.endpoints[o.Endpoint]
 	if e == nil {
-		e = &endpoint{id: o.Endpoint, waitUntil: new(atomic.Int64)}
+		e = &endpoint{id: o.Endpoint, wait: new(callWait)}
 	}
 	c := callEnd{endpoint: e, took: o.Duration, callResult: callResult{
 		outcome: o.Outcome, retryAfter: o.RetryAfter, noSlot: o.NoSlot, final: o.Final, ambiguous: o.Ambiguous, report: o.Report, reusedConn: o.ReusedConn, connClosed: o.ConnClosed,
@@ -529,7 +536,7 @@
 			c.perItem = append(c.perItem, itemResult{o.PerItem[i].Outcome, o.PerItem[i].Final, o.PerItem[i].Ambiguous})
 		}
 		if n.destinationWaits[a.Dest] != nil && o.RetryAfter > 0 && n.endpoints[o.Endpoint] == nil {
-			e.waitUntil = n.destinationWaits[a.Dest]
+			e.wait = n.destinationWaits[a.Dest]
 		}
 	}
 	return n.callEnded(c)
@@ -589,12 +596,16 @@
 	if err != nil {
 		return fmt.Errorf("handover: %w", err)
 	}
+	now := time.Now()
 	state := handoverState{
-		Clock: n.now(), At: time.Now(), Sender: saved, ListSource: n.listPosition.Server, Revision: n.listPosition.Revision, History: n.listPosition.History,
+		Clock: n.moduleTime(now), At: now, Timestamp: n.journal.clock.timestamp(now), Sender: saved, ListSource: n.listPosition.Server, Revision: n.listPosition.Revision, History: n.listPosition.History,
 		Members: slices.Collect(maps.Values(n.members)), Waits: map[string]int64{},
 	}
 	for id, e := range n.endpoints {
-		state.Waits[id] = e.waitUntil.Load()
+		state.Waits[id] = 0
+		if until := e.wait.end(); !until.IsZero() {
+			state.Waits[id] = now.Round(0).Add(until.Sub(now)).UnixNano()
+		}
 	}
 	for key, c := range n.outstanding {
 		state.Outstanding = append(state.Outstanding, outstandingAttempt{key.seq, key.number, c.message.dest, c.message.class})
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -33,6 +33,10 @@
 	recordListed   // discovery has listed it
 	recordDisabled // an operator disabled it
 	recordEnabled  // an operator enabled it again
+
+	// The base of all timestamps in the journal, of number 0. Older builds skip it, because they take its first
+	// field, which is large, for the length of an endpoint's ID.
+	recordClock
 )
 
 const (
@@ -52,7 +56,7 @@
 )
 
 // pendingMessage is what the journal knows of a message until its delivery, or the acceptance of its notice,
-// is recorded.
+// is recorded. Its times are timestamps; see timestampClock.
 type pendingMessage struct {
 	seq      uint64
 	id, key  string
@@ -60,7 +64,7 @@
 	tenant   int // -1 if unknown
 	dest     int
 	body     []byte
-	deadline time.Time
+	deadline time.Time // a timestamp
 	attempts []pastAttempt
 	final    *finalAnswer
 }
@@ -68,7 +72,7 @@
 // pastAttempt is one attempt of a pending message. One without a recorded failure was in flight when the
 // journal ended, and may have run as well.
 type pastAttempt struct {
-	sentAt         time.Time
+	sentAt         time.Time // a timestamp
 	zone           int
 	notRun, failed bool
 }
@@ -105,13 +109,15 @@
 	live             map[uint64]*pendingMessage
 	knownEndpoints   []string             // IDs of all endpoints that were ever listed, in the order of their first listing
 	disabled         map[string]bool      // by the ID of each known endpoint: true while an operator has disabled it
-	enabledAt        map[string]time.Time // by endpoint ID: when an operator last enabled it again
+	enabledAt        map[string]time.Time // by endpoint ID: when an operator last enabled it again, as a timestamp
 	liveSize         int64                // sum of the sizes of all live messages and known endpoints
 	unwritten        []byte               // records not yet in the file
 	nextSeq          uint64
 	incomplete       bool // the file lacks records of the live state; only a new file has them all
 	compactNotBefore time.Time
 	corruption       string // describes what replay could not read, if anything
+	clock            timestampClock
+	storedClockBase  clockBase // what the file says of the clock
 }
 
 // openJournal replays the journal in dir, as far as it can be read.
@@ -135,6 +141,10 @@
 		return nil, errors.Join(fmt.Errorf("journal: %w", err), f.Close())
 	}
 	j.replay(raw)
+	j.clock = newTimestampClock(j.storedClockBase)
+	if j.clock.base != j.storedClockBase && j.clock.base.bootID != "" {
+		j.add(clockRecord(j.clock.base)) // written with the first record that needs it
+	}
 	j.fileSize = int64(len(raw))
 	if j.corruption != "" {
 		j.compact() // if it fails, the journal is incomplete and every flush tries again
@@ -267,7 +277,11 @@
 func (j *journal) apply(payload []byte) {
 	r := &payloadReader{rest: payload[1:]}
 	seq := r.uvarint()
-	if payload[0] >= recordListed {
+	switch {
+	case payload[0] == recordClock:
+		j.applyClock(r)
+		return
+	case payload[0] >= recordListed:
 		j.applyEndpoint(payload[0], r)
 		return
 	}
@@ -317,6 +331,14 @@
 	}
 }
 
+// applyClock is apply for the record of the clock.
+func (j *journal) applyClock(r *payloadReader) {
+	base := clockBase{offset: time.Duration(r.uvarint()) * time.Microsecond, bootID: string(r.bytes())}
+	if !r.bad {
+		j.storedClockBase = base
+	}
+}
+
 // applyEndpoint is apply for the records of endpoints.
 func (j *journal) applyEndpoint(kind byte, r *payloadReader) {
 	id, at := string(r.bytes()), r.time()
@@ -368,6 +390,11 @@
 	return binary.AppendUvarint(appendBytes(appendTime(b, m.deadline), m.body), uint64(m.tenant+1))
 }
 
+func clockRecord(base clockBase) []byte {
+	b := binary.AppendUvarint(newRecord(recordClock, 0), uint64(base.offset/time.Microsecond))
+	return appendBytes(b, []byte(base.bootID))
+}
+
 func attemptRecord(seq uint64, at time.Time, zone int) []byte {
 	return binary.AppendUvarint(appendTime(newRecord(recordAttempt, seq), at), uint64(zone))
 }
@@ -452,10 +479,14 @@
 		n, _ := w.Write(appendRecord(nil, payload)) // w keeps the error
 		size += int64(n)
 	}
+	if j.storedClockBase.bootID != "" {
+		writeRecord(clockRecord(j.storedClockBase))
+	}
+	now := j.clock.timestamp(time.Now())
 	for _, id := range j.knownEndpoints {
-		writeRecord(endpointRecord(recordListed, id, time.Now()))
+		writeRecord(endpointRecord(recordListed, id, now))
 		if j.disabled[id] {
-			writeRecord(endpointRecord(recordDisabled, id, time.Now()))
+			writeRecord(endpointRecord(recordDisabled, id, now))
 		} else if at, ok := j.enabledAt[id]; ok {
 			writeRecord(endpointRecord(recordEnabled, id, at))
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -83,10 +83,10 @@
 	messages         map[string]*pendingMessage // all messages in the journal, by ID
 	outstanding      map[attemptKey]outstandingCall
 	endpoints        map[string]*endpoint
-	destinationWaits map[int]*atomic.Int64 // by destination, if its endpoints share one wait
-	owedNotices      []notice              // not yet taken by reportNotices
-	openMessages     int                   // number of messages without a final answer
-	actions          []guardedAction       // waiting for the records that guard them to be written, in order
+	destinationWaits map[int]*callWait // by destination, if its endpoints share one wait
+	owedNotices      []notice          // not yet taken by reportNotices
+	openMessages     int               // number of messages without a final answer
+	actions          []guardedAction   // waiting for the records that guard them to be written, in order
 	metrics          *metrics
 	stage            atomic.Int32  // shared
 	revision         atomic.Int64  // shared; of the list that the module got last
@@ -175,7 +175,7 @@
 		pool:   newPool(cfg.Settings.DialTimeout, cfg.Settings.IdleConnTimeout, idle),
 		events: make(chan any, eventQueue), commands: make(chan endpointCommand), notices: make(chan []notice), newAddresses: make(chan []string),
 		done: make(chan struct{}), messages: map[string]*pendingMessage{},
-		outstanding: map[attemptKey]outstandingCall{}, endpoints: map[string]*endpoint{}, destinationWaits: map[int]*atomic.Int64{},
+		outstanding: map[attemptKey]outstandingCall{}, endpoints: map[string]*endpoint{}, destinationWaits: map[int]*callWait{},
 		metrics: newMetrics(cfg.Names.Classes), members: map[string]catalog.Endpoint{}, successors: make(chan *handoverConn),
 	}, nil
 }
@@ -231,6 +231,9 @@
 
 func (n *Node) wallTime(d time.Duration) time.Time { return n.clockStart.Add(d - epoch) }
 
+// timestampNow returns the time now as the journal keeps it.
+func (n *Node) timestampNow() time.Time { return n.journal.clock.timestamp(time.Now()) }
+
 // Run serves clients on ln until ctx ends or another process has taken over. Then it finishes what it can;
 // the journal keeps the rest.
 func (n *Node) Run(ctx context.Context, ln net.Listener) error {
@@ -413,7 +416,7 @@
 func (n *Node) restoreDisabled() []choice.Event {
 	var events []choice.Event
 	for _, id := range n.journal.knownEndpoints {
-		recent := time.Since(n.journal.enabledAt[id]) < n.cfg.Settings.SlowStartDuration
+		recent := time.Since(n.journal.clock.time(n.journal.enabledAt[id])) < n.cfg.Settings.SlowStartDuration
 		if n.journal.disabled[id] || recent {
 			events = append(events, choice.EndpointDisabled{Endpoint: id})
 		}
@@ -427,18 +430,17 @@
 // resumedEvent returns the event that tells the module of a message from the journal. An attempt may have run
 // unless it is proven that it has not.
 func (n *Node) resumedEvent(m *pendingMessage) choice.MessageResumed {
-	r := choice.MessageResumed{MessageArrived: n.arrivedEvent(m, m.deadline), Attempts: len(m.attempts)}
+	r := choice.MessageResumed{MessageArrived: n.arrivedEvent(m, n.journal.clock.time(m.deadline)), Attempts: len(m.attempts)}
 	for _, a := range m.attempts {
 		r.Failed = r.Failed || a.failed
 		if !a.notRun && !r.MayHaveRun {
-			r.MayHaveRun, r.MayHaveRunSince, r.Zone = true, n.moduleTime(a.sentAt), a.zone
+			r.MayHaveRun, r.MayHaveRunSince, r.Zone = true, n.moduleTime(n.journal.clock.time(a.sentAt)), a.zone
 		}
 	}
 	return r
 }
 
-// arrivedEvent returns the event that tells the module of a message. The deadline of a message that arrives
-// now is on the monotonic clock, so that a step of the wall clock does not move it.
+// arrivedEvent returns the event that tells the module of a message.
 func (n *Node) arrivedEvent(m *pendingMessage, deadline time.Time) choice.MessageArrived {
 	return choice.MessageArrived{ID: m.choiceID(), Class: m.class, Tenant: m.tenant, Dest: m.dest, Key: m.key, Deadline: n.moduleTime(deadline)}
 }
@@ -606,7 +608,7 @@
 		return nil
 	}
 	m, err := n.journal.accept(
-		&pendingMessage{id: a.id, key: a.key, class: a.class, tenant: a.tenant, dest: a.dest, body: a.body, deadline: a.receivedAt.Add(a.ttl)})
+		&pendingMessage{id: a.id, key: a.key, class: a.class, tenant: a.tenant, dest: a.dest, body: a.body, deadline: n.journal.clock.timestamp(a.receivedAt.Add(a.ttl))})
 	if err != nil {
 		a.reply <- n.refuse(a, err)
 		return nil
@@ -643,7 +645,7 @@
 // applyList updates the endpoints from a list and returns the event for the module. Calls that have not
 // written their first byte learn of it by endpoint.closed.
 func (n *Node) applyList(l catalog.List) choice.ListUpdate {
-	maps.DeleteFunc(n.destinationWaits, func(dest int, _ *atomic.Int64) bool { return !n.sender.KnowsDestination(dest) })
+	maps.DeleteFunc(n.destinationWaits, func(dest int, _ *callWait) bool { return !n.sender.KnowsDestination(dest) })
 	l.Members = slices.DeleteFunc(l.Members, func(m catalog.Endpoint) bool { return m.ID == "" })
 	entries := entries(l.Members, n.cfg.Names)
 	inList := map[string]bool{}
@@ -654,7 +656,7 @@
 			delete(n.members, m.ID)
 		}
 		if _, known := n.journal.disabled[m.ID]; !known {
-			n.journal.add(endpointRecord(recordListed, m.ID, time.Now()))
+			n.journal.add(endpointRecord(recordListed, m.ID, n.timestampNow()))
 		}
 		n.updateEndpoint(m, entries[i])
 	}
@@ -680,7 +682,7 @@
 	if e == nil || e.addr != m.Addr {
 		n.closeEndpoint(e)
 		n.endpoints[m.ID] = &endpoint{
-			id: m.ID, addr: m.Addr, zone: entry.Zone, maxBatch: n.batchSize(entry), waitUntil: n.waitFor(entry),
+			id: m.ID, addr: m.Addr, zone: entry.Zone, maxBatch: n.batchSize(entry), wait: n.waitFor(entry),
 		}
 	}
 }
@@ -718,7 +720,7 @@
 	if o.enable {
 		kind = recordEnabled
 	}
-	n.journal.add(endpointRecord(kind, o.id, time.Now()))
+	n.journal.add(endpointRecord(kind, o.id, n.timestampNow()))
 	n.log.Info("endpoint enabled or disabled by an operator", "endpoint", o.id, "serves", o.enable)
 	if m, listed := n.members[o.id]; listed {
 		n.updateEndpoint(m, entries([]catalog.Endpoint{m}, n.cfg.Names)[0])
@@ -745,14 +747,13 @@
 	return 1
 }
 
-// waitFor returns the time until which an endpoint gets no calls: its own if it is a separate route, else
-// that of its destination.
-func (n *Node) waitFor(e choice.Entry) *atomic.Int64 {
+// waitFor returns the wait of an endpoint: its own if it is a separate route, else that of its destination.
+func (n *Node) waitFor(e choice.Entry) *callWait {
 	if kinds := n.cfg.Settings.Kinds; e.Kind >= 0 && e.Kind < len(kinds) && kinds[e.Kind].SeparateRoutes {
-		return new(atomic.Int64)
+		return new(callWait)
 	}
 	if n.destinationWaits[e.Dest] == nil {
-		n.destinationWaits[e.Dest] = new(atomic.Int64)
+		n.destinationWaits[e.Dest] = new(callWait)
 	}
 	return n.destinationWaits[e.Dest]
 }
@@ -760,8 +761,7 @@
 // applyWait stops new calls to an endpoint for the retry-after of its answer.
 func (e callEnd) applyWait() {
 	if e.retryAfter > 0 {
-		until := time.Now().Add(e.retryAfter).UnixNano()
-		e.endpoint.waitUntil.Store(max(until, e.endpoint.waitUntil.Load()))
+		e.endpoint.wait.extend(time.Now().Add(e.retryAfter))
 	}
 }
 
@@ -894,7 +894,7 @@
 		return
 	}
 	n.log.Debug("message ended", "id", m.id, "seq", m.seq, "failed", final.failed, "retry_after", final.retryAfter, "attempts", len(m.attempts),
-		"time_left", time.Until(m.deadline), "on_arrival", added[m.seq] != nil)
+		"time_left", time.Until(n.journal.clock.time(m.deadline)), "on_arrival", added[m.seq] != nil)
 	if all, ok := added[m.seq]; ok {
 		delete(added, m.seq)
 		n.forget(m)
@@ -909,7 +909,7 @@
 	n.metrics.countUndelivered(m.class, final.failed)
 	n.journal.add(finalRecord(m.seq, final))
 	notice := newNotice(m)
-	n.actions = append(n.actions, guardedAction{run: func() { n.owedNotices = append(n.owedNotices, notice) }, unguardedFrom: m.deadline})
+	n.actions = append(n.actions, guardedAction{run: func() { n.owedNotices = append(n.owedNotices, notice) }, unguardedFrom: n.journal.clock.time(m.deadline)})
 }
 
 // outgoingCall is a call to which a step may still add messages.
@@ -931,12 +931,12 @@
 	}
 	if e == nil {
 		// The list has just dropped the endpoint. The call ends as Stale, which proves that it has not run.
-		e = &endpoint{id: a.Endpoint, waitUntil: new(atomic.Int64)}
+		e = &endpoint{id: a.Endpoint, wait: new(callWait)}
 		e.closed.Store(true)
 	}
 	key := attemptKey{m.seq, len(m.attempts)}
 	n.log.Debug("attempt", "id", m.id, "seq", m.seq, "attempt", key.number, "endpoint", a.Endpoint, "call", a.Call, "new_connection", a.NewConn)
-	n.journal.add(attemptRecord(m.seq, time.Now(), e.zone))
+	n.journal.add(attemptRecord(m.seq, n.timestampNow(), e.zone))
 	it := item{m.id, m.key, m.body}
 	o := calls[a.Call]
 	if o == nil || len(o.items) >= e.maxBatch || o.size+it.maxEncodedSize() > maxBody {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -673,8 +673,8 @@
 		if err := j.compact(); err != nil { // compaction keeps the difference
 			t.Fatal(err)
 		}
-		n := &Node{clockStart: time.Now()}
-		for _, m := range openTestJournal(t, dir, 3).live {
+		n := &Node{clockStart: time.Now(), journal: openTestJournal(t, dir, 3)}
+		for _, m := range n.journal.live {
 			r := n.resumedEvent(m)
 			if r.Failed != c.failed || r.MayHaveRun != c.touched || r.Attempts != 1 || (r.MayHaveRun && r.MayHaveRunSince > n.now()) {
 				t.Errorf("%s: got %+v", c.name, r)
--- a/internal/node/ownership.go
+++ b/internal/node/ownership.go
@@ -137,8 +137,9 @@
 	name         string
 	path         string
 	log          *slog.Logger
-	maxDeadline  time.Duration                   // the longest deadline of a class
-	lastDeadline [ownership.PartitionCount]int64 // Unix ns: the deadline of the last message accepted, by partition
+	maxDeadline  time.Duration // the longest deadline of a class
+	clock        timestampClock
+	lastDeadline [ownership.PartitionCount]int64 // the deadline of the last message accepted, by partition; a timestamp as Unix time in nanoseconds
 	unsavedMap   []byte                          // the encoded map, until it is saved
 	listedSet    ownership.Set                   // the list of these was passed to the module
 	appliedSet   ownership.Set                   // the module has applied the list of these
@@ -152,7 +153,7 @@
 	if cfg.Fleet.Ownership == nil {
 		return nil
 	}
-	s := &ownershipState{name: cfg.owner(), path: filepath.Join(cfg.StateDir, mapName), log: log}
+	s := &ownershipState{name: cfg.owner(), path: filepath.Join(cfg.StateDir, mapName), log: log, clock: j.clock}
 	for _, c := range cfg.Settings.Classes {
 		s.maxDeadline = max(s.maxDeadline, c.Deadline)
 	}
@@ -171,8 +172,8 @@
 		}
 		if s.trackDeadline(m); !s.owned.Has(ownership.PartitionOf(m.dest)) {
 			open.set.Add(ownership.PartitionOf(m.dest))
-			if m.deadline.After(open.until) {
-				open.until = m.deadline
+			if deadline := j.clock.time(m.deadline); deadline.After(open.until) {
+				open.until = deadline
 			}
 		}
 	}
@@ -252,7 +253,7 @@
 	lost := s.owned.Without(owned)
 	byClass, byMessage := lingeringPartitions{until: now.Add(s.maxDeadline)}, lingeringPartitions{}
 	for p := range lost.All() {
-		if last := time.Unix(0, s.lastDeadline[p]); last.After(byClass.until) { // a client may set a longer deadline than its class has
+		if last := s.clock.time(time.Unix(0, s.lastDeadline[p])); last.After(byClass.until) { // a client may set a longer deadline than its class has
 			byMessage.set.Add(p)
 			if last.After(byMessage.until) {
 				byMessage.until = last
@@ -330,7 +331,7 @@
 	maxSilence         time.Duration // maxWatchSilence, except in tests
 
 	namedMap atomic.Int64 // shared: number of the map that the list named last; -1 for none
-	heardAt  atomic.Int64 // shared: Unix ns of the last sign of life of a watch
+	heardAt  atomicTime   // shared: the last sign of life of a watch
 	mapNamed chan struct{}
 
 	checkedMap int64     // the last value of namedMap that was checked
@@ -347,7 +348,7 @@
 		return
 	}
 	f := &n.ownership.follower
-	f.heardAt.Store(time.Now().UnixNano())
+	f.heardAt.Store(time.Now())
 	f.passToLoop(ctx, n, nil)
 	if f.mapNumber == 0 {
 		f.scheduleFetch(time.Now())
@@ -383,7 +384,7 @@
 	}
 	w.Partitions = &requested
 	w.OnLine = func() {
-		f.heardAt.Store(time.Now().UnixNano())
+		f.heardAt.Store(time.Now())
 		if onHeard != nil {
 			onHeard()
 		}
@@ -409,7 +410,7 @@
 	for ctx.Err() == nil {
 		now := time.Now()
 		f.checkNamedMap(now)
-		silentAt := time.Unix(0, f.heardAt.Load()).Add(f.maxSilence)
+		silentAt := f.heardAt.Load().Add(f.maxSilence)
 		switch {
 		case !f.fetchAt.IsZero() && !now.Before(f.fetchAt):
 			f.fetchMap(ctx, n, w)
@@ -419,7 +420,7 @@
 		case !f.saveAt.IsZero() && !now.Before(f.saveAt):
 			f.passToLoop(ctx, n, nil)
 		case f.fetchAt.IsZero() && !now.Before(silentAt):
-			f.heardAt.Store(now.UnixNano())
+			f.heardAt.Store(now)
 			f.scheduleFetch(now)
 		}
 		now = time.Now()
@@ -443,7 +444,7 @@
 	_, wake := f.setAt(now)
 	due := []time.Time{f.fetchAt, f.saveAt}
 	if f.fetchAt.IsZero() {
-		due = append(due, time.Unix(0, f.heardAt.Load()).Add(f.maxSilence))
+		due = append(due, f.heardAt.Load().Add(f.maxSilence))
 	}
 	for _, at := range due {
 		if !at.IsZero() && (wake.IsZero() || at.Before(wake)) {
--- a/internal/node/ownership_wake_test.go
+++ b/internal/node/ownership_wake_test.go
@@ -23,7 +23,7 @@
 			want: now.Add(time.Second)},
 		{name: "silent, with no fetch scheduled", heard: now.Add(-time.Hour), want: now.Add(time.Minute - time.Hour)},
 	} {
-		f.heardAt.Store(c.heard.UnixNano())
+		f.heardAt.Store(c.heard)
 		f.fetchAt, f.saveAt = c.fetchAt, c.saveAt
 		if got := f.nextWake(now); !got.Equal(c.want) {
 			t.Errorf("%s: wakes in %v, want %v", c.name, got.Sub(now), c.want.Sub(now))
