--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -4,7 +4,9 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -20,6 +22,7 @@
 	closing func(*net.TCPConn) // before the node closes its sending side, or closes the connection without that
 	reading func()             // before each read
 	expired func()             // after its read deadline was set to a past time
+	timeout func(*net.TCPConn) // after a read that its deadline has ended
 }
 
 type hookedListener struct {
@@ -49,7 +52,11 @@
 	if c.reading != nil {
 		c.reading()
 	}
-	return c.TCPConn.Read(p)
+	n, err := c.TCPConn.Read(p)
+	if c.timeout != nil && errors.Is(err, os.ErrDeadlineExceeded) {
+		c.timeout(c.TCPConn)
+	}
+	return n, err
 }
 
 func (c *hookedConn) SetReadDeadline(at time.Time) error {
@@ -305,3 +312,57 @@
 		})
 	}
 }
+
+const (
+	heldUp     = 20 * time.Millisecond // for which a process does not run; the operators allow for 150 ms
+	burstConns = 20
+)
+
+// A process that is held up finds its deadlines passed. A request that came meanwhile is answered all the same.
+func TestHoldUpLosesNoRequest(t *testing.T) {
+	t.Run("old connection", func(t *testing.T) { testHoldUpOfRead(t, encodeCommand("PING"), connIdle) })
+	t.Run("new connection", func(t *testing.T) { testHoldUpOfRead(t, "", connNew) })
+	t.Run("accept queue", testHoldUpOfAccept)
+}
+
+// testHoldUpOfRead submits a request on a resting connection, which is in a list, after its read has timed out.
+func testHoldUpOfRead(t *testing.T, first string, list int) {
+	late := enqueueCommand("a", "c=notice,d=8000,dest=7", "b")
+	var client net.Conn
+	var sent atomic.Bool
+	l := &hookedListener{connHooks: connHooks{
+		reading: func() { time.Sleep(heldUp) },
+		timeout: func(server *net.TCPConn) {
+			if sent.CompareAndSwap(false, true) {
+				io.WriteString(client, late)
+				waitUnread(t, server, len(late))
+			}
+		},
+	}}
+	c, addr := serveHooked(t, 5, l, func(request) answer { return answer{} }, nil)
+	var br interface{ ReadString(byte) (string, error) }
+	client, br = dialClient(t, addr)
+	if first != "" {
+		io.WriteString(client, first)
+		expectLine(t, br, "+PONG\r\n")
+	}
+	waitListed(t, c, list, 1)
+	go c.close(shutdownGrace)
+	expectLine(t, br, "+OK\r\n")
+}
+
+// testHoldUpOfAccept submits requests on connections that are in the accept queue at a shutdown.
+func testHoldUpOfAccept(t *testing.T) {
+	l := &hookedListener{accepting: func() { time.Sleep(heldUp) }}
+	c, addr := serveHooked(t, 2*burstConns, l, func(request) answer { return answer{} }, func(c *clientServer) { c.reconnectTime = heldUp })
+	replies := make([]interface{ ReadString(byte) (string, error) }, burstConns)
+	for i := range replies {
+		var client net.Conn
+		client, replies[i] = dialClient(t, addr)
+		io.WriteString(client, enqueueCommand("a"+itoa(i), "c=notice,d=8000,dest=7", "b"))
+	}
+	go c.close(testTimeout)
+	for _, r := range replies {
+		expectLine(t, r, "+OK\r\n")
+	}
+}
