Node: a passed deadline is no proof that nothing came; held-up process loses no request

Cause: at a deadline (idle, eviction, shutdown, abandoned call) the node looked once more by a read or accept with a deadline of 1 ms. A process that is held up for longer misses that too, and Go then returns without asking the system. Class: a deadline taken for proof of absence. Change: readArrived and connectionArrived ask the system without a clock, on clients' connections, on the accept queue and on endpoints' connections. Also: at a shutdown a connection with a request in execution is not closed by force, one that was just answered gets a last look, and one that never got a reply is closed without reading. TestReadAfterDeadline runs on a socket now, since a pipe has no descriptor, and requires the byte at the first read.

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -36,7 +36,6 @@
 	loadHeader        = "Endpoint-Load-Metrics"
 	maxInterimAnswers = 8 // 1xx answers before the final one
 	maxRetryAfter     = 10 * time.Minute
-	finalReads        = 3   // reads of data that has already arrived, once a call is abandoned
 	maxReportedLeft   = 2   // bound of the share left of the limit in a load report; it is noisy and may exceed 1
 	maxReportedLimit  = 1e6 // bound of the limit in a load report, in calls a second
 )
@@ -105,6 +104,7 @@
 	br           *bufio.Reader
 	idleWatchErr chan error  // receives the error that ended the watch of the idle connection
 	abandoned    atomic.Bool // its call is over: the deadline has passed or it was canceled
+	finalReads   int         // reads of what had already arrived, since the call was abandoned
 }
 
 func newPool(dialTimeout, connIdle time.Duration, maxIdle int) *pool {
@@ -234,16 +234,16 @@
 	return k
 }
 
-// Read tries again when it is interrupted because the call was abandoned, to read an answer that has already
+// Read looks once more when it is interrupted because the call was abandoned, for an answer that has already
 // arrived: the deadline may have passed while the process was stopped, and package choice, which may cancel
 // the call, knows only of answers that were read.
 func (k *conn) Read(p []byte) (int, error) {
 	n, err := k.Conn.Read(p)
-	for try := 0; try < finalReads && n == 0 && k.abandoned.Load() && errors.Is(err, os.ErrDeadlineExceeded); try++ {
-		if deadlineErr := k.SetReadDeadline(time.Now().Add(finalReadTimeout)); deadlineErr != nil {
-			break
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && k.abandoned.Load() && k.finalReads < maxFinalReads {
+		k.finalReads++
+		if arrived, readErr := readArrived(k.Conn, p); arrived > 0 || readErr != nil {
+			return arrived, readErr
 		}
-		n, err = k.Conn.Read(p)
 	}
 	return n, err
 }
@@ -251,7 +251,7 @@
 // abandon interrupts a call whose deadline has passed or that was canceled.
 func (k *conn) abandon() {
 	k.abandoned.Store(true)
-	k.SetDeadline(time.Unix(1, 0))
+	k.SetDeadline(pastDeadline)
 }
 
 // exchange writes the request and reads the answer. It reports whether the connection can be used for another
@@ -293,7 +293,7 @@
 			return callResult{}, false, fmt.Errorf("answer: %w", err)
 		}
 		if k.abandoned.Load() { // read only what has arrived, without waiting
-			k.SetReadDeadline(time.Unix(1, 0))
+			k.SetReadDeadline(pastDeadline)
 		}
 		code, err := k.readStatus()
 		firstLineAt := time.Now()
@@ -475,7 +475,7 @@
 		p.mu.Unlock()
 		// This interrupts the read of the idle watch. If the endpoint had closed the connection or sent
 		// anything, the read would have ended with another error, and a request would be answered by a reset.
-		k.SetReadDeadline(time.Unix(1, 0))
+		k.SetReadDeadline(pastDeadline)
 		err := <-k.idleWatchErr
 		var timeout net.Error
 		if errors.As(err, &timeout) && timeout.Timeout() && k.addr == e.addr && k.SetReadDeadline(time.Time{}) == nil {
--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -576,7 +576,7 @@
 // pausedConn is a connection whose first read blocks until a deadline is set or it is closed, and then until
 // the answer has arrived, as if the process had been stopped meanwhile.
 type pausedConn struct {
-	net.Conn
+	*net.TCPConn
 	arrived   <-chan struct{} // closed when the answer has arrived
 	readAgain atomic.Bool
 	wake      chan struct{}
@@ -585,7 +585,7 @@
 
 func (s *pausedConn) Read(p []byte) (int, error) {
 	if s.readAgain.Swap(true) {
-		return s.Conn.Read(p)
+		return s.TCPConn.Read(p)
 	}
 	<-s.wake
 	<-s.arrived
@@ -594,12 +594,12 @@
 
 func (s *pausedConn) SetDeadline(t time.Time) error {
 	defer s.once.Do(func() { close(s.wake) })
-	return s.Conn.SetDeadline(t)
+	return s.TCPConn.SetDeadline(t)
 }
 
 func (s *pausedConn) Close() error {
 	defer s.once.Do(func() { close(s.wake) })
-	return s.Conn.Close()
+	return s.TCPConn.Close()
 }
 
 // An answer that has arrived and was not read yet is read before a call is abandoned, whether its deadline
@@ -632,7 +632,7 @@
 				return n > 0 || err != syscall.EAGAIN
 			})
 		}()
-		return &pausedConn{Conn: nc, arrived: arrived, wake: make(chan struct{})}, nil
+		return &pausedConn{TCPConn: nc.(*net.TCPConn), arrived: arrived, wake: make(chan struct{})}, nil
 	}
 	c := newTestCall(newTestEndpoint(partner.addr()))
 	if canceled {
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -46,12 +46,15 @@
 	lingerTimeout     = 300 * time.Millisecond // for a client to read its last reply, and to notice that nothing more is accepted
 	lingerShutdown    = 150 * time.Millisecond // instead of lingerTimeout when the node shuts down
 	lingerEvicted     = 5 * time.Millisecond   // instead of lingerTimeout when other clients wait for the connection slot
-	finalReadTimeout  = time.Millisecond       // of each final read
 	maxFinalReads     = 64                     // reads after the deadline, for what had arrived by then
+	finalAcceptTime   = 50 * time.Millisecond  // to accept a connection that waits in the queue
 	evictWait         = 20 * time.Millisecond  // wait for an evicted connection to give its slot back
 	evictReadingAfter = 100 * time.Millisecond // time that a request may take before its connection can be evicted
 )
 
+// pastDeadline ends a read that waits, and lets later ones read only what has arrived.
+var pastDeadline = time.Unix(1, 0)
+
 // request is one message as a client hands it in.
 type request struct {
 	id, key     string
@@ -286,7 +289,7 @@
 }
 
 // clientConn is one client's connection. Only its own goroutine reads and writes; the lock of the
-// clientServer guards element.
+// clientServer guards element and executing.
 type clientConn struct {
 	net.Conn
 	unsent       []byte
@@ -296,25 +299,23 @@
 	replies      int            // number of replies sent or queued
 	discarded    int64          // bytes that were read and ignored after this side ended its sending
 	evicted      bool           // other clients wait for its slot
+	executing    bool           // its request is read, and not answered yet
 	requestBegan time.Time      // when its request began
 	element      *queue.Element // in one of the server's lists
 }
 
 // Read flushes first, because the client may be waiting for the queued replies. A read deadline may have
 // passed while the process did not run, or have been set to evict the connection. Neither means that no bytes
-// have arrived meanwhile, so Read tries again for a moment: a connection must not end with a whole request
-// unread.
+// have arrived meanwhile, so Read looks: a connection must not end with a whole request unread.
 func (c *clientConn) Read(p []byte) (int, error) {
 	if err := c.flush(); err != nil {
 		return 0, err
 	}
 	n, err := c.Conn.Read(p)
-	for ; n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.finalReads < maxFinalReads; c.finalReads++ {
-		if lerr := c.SetReadDeadline(time.Now().Add(finalReadTimeout)); lerr != nil {
-			return 0, lerr
-		}
-		if n, err = c.Conn.Read(p); n == 0 {
-			break
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.finalReads < maxFinalReads {
+		c.finalReads++
+		if arrived, readErr := readArrived(c.Conn, p); arrived > 0 || readErr != nil {
+			n, err = arrived, readErr
 		}
 	}
 	c.readAt = time.Now()
@@ -381,13 +382,14 @@
 
 	reconnectTime, requestTimeout time.Duration // the constants of these names, except in tests
 
-	mu        sync.Mutex
-	conns     map[*clientConn]bool
-	lists     [4]queue.List // by the state of their connections, each in the order of entry
-	closing   bool
-	grace     time.Duration // for requests, while closing
-	wg        sync.WaitGroup
-	closeOnce sync.Once
+	mu         sync.Mutex
+	conns      map[*clientConn]bool
+	lists      [4]queue.List // by the state of their connections, each in the order of entry
+	closing    bool
+	abandoning bool          // the time for closing is over
+	grace      time.Duration // for requests, while closing
+	wg         sync.WaitGroup
+	closeOnce  sync.Once
 }
 
 func newClientServer(listener net.Listener, maxConns int, names wire.Names, handle func(request) answer) *clientServer {
@@ -401,37 +403,16 @@
 // that has been idle longest, and the next connection waits in the backlog until the slot is free.
 func (s *clientServer) serve(ctx context.Context) {
 	defer close(s.acceptDone)
-	for draining := false; ; {
-		for acquired := false; !acquired; {
-			select {
-			case s.slots <- struct{}{}:
-				acquired = true
-			default:
-				s.evict()
-				select {
-				case s.slots <- struct{}{}:
-					acquired = true
-				case <-time.After(evictWait):
-				case <-s.stopAccepting:
-					return
-				}
-			}
-		}
+	for s.acquireSlot() {
 		nc, err := s.listener.Accept()
 		if err != nil {
 			<-s.slots
 			s.log.Debug("no connection accepted", "err", err)
-			switch {
-			case errors.Is(err, os.ErrDeadlineExceeded) && !draining: // the node shuts down; connections that have arrived by now are served
-				draining = s.acceptUntil(time.Now().Add(finalReadTimeout)) == nil
-			case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, net.ErrClosed), !registry.Sleep(ctx, acceptRetryDelay):
-				return // any other error most likely means that the process is out of descriptors
+			if !s.acceptMore(ctx, err) {
+				return
 			}
 			continue
 		}
-		if draining { // there may be more
-			s.acceptUntil(time.Now().Add(finalReadTimeout))
-		}
 		s.wg.Go(func() {
 			defer func() { <-s.slots }()
 			s.serveConn(nc)
@@ -439,6 +420,38 @@
 	}
 }
 
+// acquireSlot takes a connection slot, and evicts connections until one is free. It reports false when no more
+// connections are to be accepted.
+func (s *clientServer) acquireSlot() bool {
+	for {
+		select {
+		case s.slots <- struct{}{}:
+			return true
+		default:
+		}
+		s.evict()
+		select {
+		case s.slots <- struct{}{}:
+			return true
+		case <-time.After(evictWait):
+		case <-s.stopAccepting:
+			return false
+		}
+	}
+}
+
+// acceptMore reports whether to go on accepting after an error. A deadline is set when the node shuts down;
+// connections that have arrived by then are served.
+func (s *clientServer) acceptMore(ctx context.Context, err error) bool {
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return connectionArrived(s.listener) && s.acceptUntil(time.Now().Add(finalAcceptTime)) == nil
+	case errors.Is(err, net.ErrClosed):
+		return false
+	}
+	return registry.Sleep(ctx, acceptRetryDelay) // most likely the process or the system is out of something
+}
+
 // acceptUntil ends accepting at the given time, if the listener supports that, and otherwise now.
 func (s *clientServer) acceptUntil(until time.Time) error {
 	ln, ok := s.listener.(interface{ SetDeadline(time.Time) error })
@@ -469,7 +482,7 @@
 	c := list.Front().Value.(*clientConn)
 	s.removeFromList(c)
 	c.evicted = true
-	c.SetReadDeadline(time.Unix(1, 0)) // not closed from here: see Read
+	c.SetReadDeadline(pastDeadline) // not closed from here: see Read
 }
 
 // markIdle adds a connection to the idle ones, and reports whether it may continue. Clients may have a limit
@@ -481,16 +494,19 @@
 func (s *clientServer) markIdle(c *clientConn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	timeout, list := idleTimeout, &s.lists[connNew]
+	c.executing = false
+	deadline, list := time.Now().Add(idleTimeout), &s.lists[connNew]
 	switch {
-	case s.closing && c.answered:
+	case s.abandoning:
 		return false
+	case s.closing && c.answered:
+		deadline, list = pastDeadline, &s.lists[connIdle] // only what has arrived is still read
 	case s.closing:
-		timeout = s.grace
+		deadline = time.Now().Add(s.grace)
 	case c.answered:
 		list = &s.lists[connIdle]
 	}
-	if c.SetReadDeadline(time.Now().Add(timeout)) != nil {
+	if c.SetReadDeadline(deadline) != nil {
 		return false
 	}
 	c.element, c.finalReads, c.evicted = list.PushBack(c), 0, false
@@ -505,6 +521,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.removeFromList(c)
+	c.executing = false
 	c.finalReads, c.evicted, c.requestBegan = 0, false, time.Now()
 	c.element = s.lists[connReading].PushBack(c)
 	timeout := s.requestTimeout
@@ -520,6 +537,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.removeFromList(c)
+	c.executing = true
 }
 
 // removeFromList removes a connection from its list. The lock must be held.
@@ -634,9 +652,9 @@
 // closeWithLinger ends a connection from this side. It reads and ignores whatever the client has sent since
 // the last read: the client sees that the connection had ended, and sends its request elsewhere. Closing with
 // unread bytes would reset the connection, and the last reply could be lost. Meanwhile the connection can be
-// evicted.
+// evicted. Without any reply there is none to lose, and what the client has sent stays unread.
 func (s *clientServer) closeWithLinger(c *clientConn) {
-	if c.flush() != nil {
+	if !c.answered || c.flush() != nil {
 		return
 	}
 	t, ok := c.Conn.(interface{ CloseWrite() error })
@@ -676,7 +694,7 @@
 	s.closing, s.grace = true, grace
 	for _, i := range []int{connNew, connIdle} {
 		for e := s.lists[i].Front(); e != nil; e = e.Next() {
-			e.Value.(*clientConn).SetReadDeadline(time.Unix(1, 0)) // see Read
+			e.Value.(*clientConn).SetReadDeadline(pastDeadline) // see Read
 		}
 	}
 	s.mu.Unlock()
@@ -693,15 +711,18 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		for e := s.lists[connReading].Front(); e != nil; e = e.Next() {
-			e.Value.(*clientConn).SetReadDeadline(time.Unix(1, 0)) // requests that have arrived whole by now are still answered
+			e.Value.(*clientConn).SetReadDeadline(pastDeadline) // requests that have arrived whole by now are still answered
 		}
 	})
 	defer graceTimer.Stop()
 	closeTimer := time.AfterFunc(2*grace+lingerShutdown, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
+		s.abandoning = true
 		for c := range s.conns {
-			c.Close() // the client does not even read its replies
+			if !c.executing { // else its request is still owed an answer
+				c.Close() // the client does not even read its replies
+			}
 		}
 	})
 	defer closeTimer.Stop()
--- a/internal/node/clients_test.go
+++ b/internal/node/clients_test.go
@@ -307,18 +307,31 @@
 	if line, err := br.ReadString('\n'); line != "+PONG\r\n" {
 		t.Fatalf("got %q, %v", line, err)
 	}
-	near, far := net.Pipe()
-	defer far.Close()
-	go io.WriteString(far, "x")
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	far, _ := dialClient(t, ln.Addr().String())
+	near, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer near.Close()
+	io.WriteString(far, "x")
+	waitUnread(t, near.(*net.TCPConn), 1)
+	near.SetReadDeadline(time.Unix(1, 0))
 	conn := &clientConn{Conn: near}
-	// A read from a pipe after its deadline returns no bytes, but Read tries again with a deadline of its
-	// own.
-	for got := 0; got == 0; {
-		conn.finalReads = 0
-		near.SetReadDeadline(time.Unix(1, 0))
-		n, err := conn.Read(make([]byte, 1))
-		if got = n; err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-			t.Fatal(err)
+	if n, err := conn.Read(make([]byte, 2)); n != 1 || err != nil {
+		t.Errorf("read %d bytes, %v", n, err)
+	}
+	if n, err := conn.Read(make([]byte, 2)); n != 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("nothing more has arrived: read %d bytes, %v", n, err)
+	}
+	far.Close()
+	for err = nil; !errors.Is(err, io.EOF); _, err = conn.Read(make([]byte, 2)) {
+		if conn.finalReads >= maxFinalReads {
+			conn.finalReads = 0
 		}
 	}
 	c.evict()
