Node: notices outlive a silent connection to discovery

Cause: one post at a time, and with one address it was waited for 2 s; a kept connection that has fallen silent held it that long. After refusals the pause grew to 1 s. A notice is due 0.3 s after its message's time. Class: one slow peer holds what is due for all.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -84,7 +84,7 @@
 	outstanding      map[attemptKey]outstandingCall
 	endpoints        map[string]*endpoint
 	destinationWaits map[int]*callWait // by destination, if its endpoints share one wait
-	owedNotices      []notice          // not yet taken by reportNotices
+	owedNotices      []notice          // not yet taken by the noticePoster
 	openMessages     int               // number of messages without a final answer
 	actions          []guardedAction   // waiting for the records that guard them to be written, in order
 	metrics          *metrics
@@ -362,7 +362,8 @@
 			})
 		})
 		tasks.Go(func() {
-			unanswered = reportNotices(sourceCtx, n.log, client, current, unanswered, n.notices, func(b []notice) { n.sendEvent(ctx, noticesTaken(b)) })
+			poster := noticePoster{log: n.log, client: client, addrs: current, hedgeDelay: noticeHedgeDelay}
+			unanswered = poster.run(sourceCtx, unanswered, n.notices, func(b []notice) { n.sendEvent(ctx, noticesTaken(b)) })
 		})
 		for unchanged := true; unchanged; { // the same addresses again change nothing
 			select {
--- a/internal/node/notices_test.go
+++ b/internal/node/notices_test.go
@@ -13,6 +13,10 @@
 	"time"
 )
 
+func newTestPoster(hedgeDelay time.Duration, addrs ...string) *noticePoster {
+	return &noticePoster{log: slog.New(slog.DiscardHandler), client: &http.Client{Transport: &http.Transport{}}, addrs: addrs, hedgeDelay: hedgeDelay}
+}
+
 // A backlog of notices is posted in bodies of at most 64 KiB, each notice once and in order. Unanswered ones
 // are returned for the next address.
 func TestNoticeBacklog(t *testing.T) {
@@ -46,8 +50,8 @@
 	var reported sync.WaitGroup
 	var done, returned []notice
 	reported.Go(func() {
-		returned = reportNotices(ctx, slog.New(slog.DiscardHandler), srv.Client(), []string{srv.Listener.Addr().String()}, nil, more,
-			func(n []notice) { done = append(done, n...) })
+		poster := newTestPoster(testTimeout, srv.Listener.Addr().String())
+		returned = poster.run(ctx, nil, more, func(n []notice) { done = append(done, n...) })
 	})
 	more <- owed
 	<-refused
@@ -85,9 +89,44 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	began, accepted := time.Now(), 0
-	returned := reportNotices(ctx, slog.New(slog.DiscardHandler), http.DefaultClient, []string{hung.Listener.Addr().String(), good.Listener.Addr().String()},
-		[]notice{newNotice(&pendingMessage{id: "a", final: &finalAnswer{}})}, nil, func(n []notice) { accepted = len(n); cancel() })
+	poster := newTestPoster(noticeHedgeDelay, hung.Listener.Addr().String(), good.Listener.Addr().String())
+	returned := poster.run(ctx, []notice{newNotice(&pendingMessage{id: "a", final: &finalAnswer{}})}, nil, func(n []notice) { accepted = len(n); cancel() })
 	if took := time.Since(began); accepted != 1 || len(returned) != 0 || took >= noticePostTimeout {
 		t.Errorf("%d done, %d returned, after %v", accepted, len(returned), took)
 	}
 }
+
+// A connection that has fallen silent delays notices by little: they are due soon after their message's end.
+func TestNoticeSurvivesSilentConnection(t *testing.T) {
+	t.Parallel()
+	var mu sync.Mutex
+	silent := map[string]bool{} // by the client's address: connections that get no answer any more
+	accepted := make(chan struct{}, 100)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		io.Copy(io.Discard, req.Body)
+		mu.Lock()
+		hang := silent[req.RemoteAddr]
+		silent[req.RemoteAddr] = true // after its first answer
+		mu.Unlock()
+		if hang {
+			<-req.Context().Done()
+			return
+		}
+		accepted <- struct{}{}
+		w.WriteHeader(http.StatusNoContent)
+	}))
+	defer srv.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	more := make(chan []notice)
+	poster := newTestPoster(noticeHedgeDelay, srv.Listener.Addr().String())
+	go poster.run(ctx, nil, more, func([]notice) {})
+	for i := range 3 {
+		posted := time.Now()
+		more <- []notice{newNotice(&pendingMessage{id: itoa(i), final: &finalAnswer{}})}
+		<-accepted
+		if took := time.Since(posted); took >= noticePostTimeout/2 {
+			t.Errorf("notice %d was accepted after %v", i, took)
+		}
+	}
+}
