--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -17,8 +17,8 @@
 
 // The journal is one append-only file of records. A record is the length and the CRC-32 of its payload, four
 // bytes each, and the payload: the kind, the message's number and the fields of that kind. Written data
-// outlives the process, so the file is never synced. A kill can truncate only the last record; replay
-// describes how corrupt records are handled.
+// outlives the process, so the file is never synced. A kill can leave only the last write half done; replay
+// describes how torn and corrupt records are handled.
 
 const (
 	recordAccepted byte = iota + 1 // a message was accepted
@@ -140,13 +140,12 @@
 	if err != nil {
 		return nil, errors.Join(fmt.Errorf("journal: %w", err), f.Close())
 	}
-	j.replay(raw)
+	j.fileSize = int64(j.replay(raw))
 	j.clock = newTimestampClock(j.storedClockBase)
 	if j.clock.base != j.storedClockBase && j.clock.base.bootID != "" {
 		j.add(clockRecord(j.clock.base)) // written with the first record that needs it
 	}
-	j.fileSize = int64(len(raw))
-	if j.corruption != "" {
+	if j.corruption != "" || (j.fileSize < int64(len(raw)) && j.truncateTail() != nil) {
 		j.compact() // if it fails, the journal is incomplete and every flush tries again
 	}
 	return j, nil
@@ -154,11 +153,11 @@
 
 func (j *journal) path() string { return filepath.Join(j.dir, journalName) }
 
-// replay applies the records of a file. A record that can't be read may have guarded anything that was done
-// afterwards: an attempt, or an end. If a truncated last record still identifies its message, that message is
-// taken to have got as far as the record says. Otherwise all live messages end as failed, because sending one
-// again could have a second effect or come after its final answer.
-func (j *journal) replay(data []byte) {
+// replay applies the records of a file, and returns the size of what has been read. A torn end was being written
+// when the process was killed: nothing that it guards was done, so it is left out. A record that can't be read
+// elsewhere may have guarded anything that was done afterwards: an attempt, or an end. Then all live messages
+// end as failed, because sending one again could have a second effect or come after its final answer.
+func (j *journal) replay(data []byte) (size int) {
 	for offset := 0; offset < len(data); {
 		payload := recordPayload(data[offset:])
 		if payload != nil {
@@ -170,14 +169,26 @@
 		for next < len(data) && recordPayload(data[next:]) == nil {
 			next++
 		}
+		if next == len(data) && isTornRecord(data[offset:]) {
+			return offset
+		}
 		if j.corruption == "" {
 			j.corruption = fmt.Sprintf("%d of %d bytes from offset %d", next-offset, len(data), offset)
 		}
-		if next < len(data) || !j.applyTruncated(data[offset:]) {
-			j.failAllLive()
-		}
+		j.failAllLive()
 		offset = next
 	}
+	return len(data)
+}
+
+// isTornRecord reports whether the end of a file is the beginning of a record. A whole record whose length
+// alone is corrupt is none.
+func isTornRecord(b []byte) bool {
+	if len(b) <= recordHeaderSize {
+		return true
+	}
+	n, payload := binary.LittleEndian.Uint32(b), b[recordHeaderSize:]
+	return n <= maxRecordSize && int64(n) > int64(len(payload)) && crc32.ChecksumIEEE(payload) != binary.LittleEndian.Uint32(b[4:])
 }
 
 // recordPayload returns the payload of the record at the start of b, or nil if there is no valid record.
@@ -196,37 +207,6 @@
 	return payload
 }
 
-// applyTruncated applies what is left of a file's last record, and reports whether that identified the
-// message.
-func (j *journal) applyTruncated(b []byte) bool {
-	if len(b) <= recordHeaderSize || int64(binary.LittleEndian.Uint32(b)) <= int64(len(b)-recordHeaderSize) {
-		return false // the record is corrupt, not truncated
-	}
-	payload := b[recordHeaderSize:]
-	r := &payloadReader{rest: payload[1:]}
-	seq := r.uvarint()
-	m := j.live[seq]
-	switch {
-	case r.bad:
-		return false
-	case payload[0] == recordAccepted: // it precedes the records of attempts, so none was made
-		if id := r.bytes(); !r.bad {
-			m = &pendingMessage{seq: seq, id: string(id), tenant: -1, deadline: time.UnixMicro(0), final: &finalAnswer{}}
-			j.nextSeq = max(j.nextSeq, seq+1)
-			j.live[seq] = m
-			j.liveSize += m.size()
-		}
-	case m == nil: // of an endpoint, or of a message that nothing is owed for
-	case payload[0] == recordDone:
-		j.apply(newRecord(recordDone, seq))
-	case payload[0] == recordAttempt && m.final == nil: // it may have run, at any time in the past
-		j.apply(attemptRecord(seq, time.UnixMicro(0), 0))
-	case payload[0] == recordFinal && m.final == nil:
-		j.apply(finalRecord(seq, finalAnswer{failed: true}))
-	} // of the outcome of an attempt nothing is applied: without it the attempt may have run
-	return true
-}
-
 // failAllLive ends all live messages as failed. A repeated notice of one that had ended does no harm.
 func (j *journal) failAllLive() {
 	for seq, m := range j.live {
