Node: an idle connection is used again only if nothing has arrived on it

What callers see: a call written to a connection that the endpoint has closed or reset; a payout on it ends as failed (may have run). Cause, same class as the held-up client: the idle watch is interrupted by a past deadline, and the interruption was taken for proof that nothing had come; after a hold-up the deadline wins over an end of file that has arrived. Besides, Timeout() is also true for ETIMEDOUT, a broken connection. Change: takeIdle accepts os.ErrDeadlineExceeded alone and looks once by readArrived.

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -477,14 +477,20 @@
 		// anything, the read would have ended with another error, and a request would be answered by a reset.
 		k.SetReadDeadline(pastDeadline)
 		err := <-k.idleWatchErr
-		var timeout net.Error
-		if errors.As(err, &timeout) && timeout.Timeout() && k.addr == e.addr && k.SetReadDeadline(time.Time{}) == nil {
+		if errors.Is(err, os.ErrDeadlineExceeded) && k.addr == e.addr && k.isQuiet() && k.SetReadDeadline(time.Time{}) == nil {
 			return k
 		}
 		k.Close()
 	}
 }
 
+// isQuiet reports whether an idle connection is open and nothing has arrived on it. The interrupted read alone
+// does not tell: the deadline may have come first.
+func (k *conn) isQuiet() bool {
+	n, err := readArrived(k.Conn, make([]byte, 1))
+	return n == 0 && err == nil
+}
+
 // removeIdle removes the i-th idle connection to an endpoint from the pool. The lock must be held.
 func (p *pool) removeIdle(id string, i int) {
 	p.idleCount--
