Node: a start outlasts a folder or sockets that fail for a moment

What callers saw: a node that starts while its folder or a socket fails (ENOSPC, EIO, ENFILE, ENOBUFS, EADDRNOTAVAIL) ended, and with it all that it owed stayed without an end. Cause: each error of open, listen and lock was final. Class: an error of the moment taken for good. The operators' listener and acceptSuccessors go on after such errors of accept too: net/http ends at ENOBUFS or ENOMEM, which it does not know as temporary.

--- a/cmd/coralyard/main.go
+++ b/cmd/coralyard/main.go
@@ -49,7 +49,7 @@
 		// well.
 		debug.SetMemoryLimit(int64(max((mb-cfg.Limits.DiskMB)/2, mb/4) * (1 << 20)))
 	}
-	admin, err := node.ListenAdmin(cfg, log)
+	admin, err := node.ListenAdmin(ctx, cfg, log)
 	if err != nil {
 		return err
 	}
--- a/cmd/coralyard/main_test.go
+++ b/cmd/coralyard/main_test.go
@@ -15,12 +15,15 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"starlingusher/internal/lab/syscallfault"
 )
 
 const testTimeout = 30 * time.Second // for what must happen; no test asserts speed
 
 // TestMain runs the program instead of the tests when a test starts this binary as a child.
 func TestMain(m *testing.M) {
+	syscallfault.RunStarter()
 	if os.Getenv("CORALYARD_TEST_CHILD") != "" {
 		main()
 		return
--- a/internal/lab/scale/hollow/hollow_test.go
+++ b/internal/lab/scale/hollow/hollow_test.go
@@ -77,7 +77,7 @@
 		return err
 	}
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
-	admin, err := node.ListenAdmin(cfg, log)
+	admin, err := node.ListenAdmin(ctx, cfg, log)
 	if err != nil {
 		return err
 	}
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -31,13 +31,14 @@
 	metrics  *metrics // of the process, used by each node that it runs
 }
 
-// ListenAdmin opens the operators' address, if the configuration names one, and serves it until Close.
-func ListenAdmin(cfg Config, log *slog.Logger) (*Admin, error) {
+// ListenAdmin opens the operators' address, if the configuration names one, and serves it until Close. It waits
+// while the address is not available.
+func ListenAdmin(ctx context.Context, cfg Config, log *slog.Logger) (*Admin, error) {
 	a := &Admin{metrics: newMetrics(cfg.Names.Classes)}
 	if cfg.AdminAddr == "" {
 		return a, nil
 	}
-	ln, err := net.Listen("tcp", cfg.AdminAddr)
+	ln, err := untilAvailable(ctx, log, "waiting until the operators' address can be opened", func() (net.Listener, error) { return net.Listen("tcp", cfg.AdminAddr) })
 	if err != nil {
 		return nil, fmt.Errorf("operators' address: %w", err)
 	}
@@ -151,6 +152,10 @@
 func (l *cappedListener) Accept() (net.Conn, error) {
 	for {
 		nc, err := l.Listener.Accept()
+		if isTransient(err) { // the server would end, or not, by the kind of error
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
 		if err != nil {
 			return nil, err
 		}
--- a/internal/node/admin_test.go
+++ b/internal/node/admin_test.go
@@ -21,7 +21,7 @@
 	cfg := Config{AdminAddr: "127.0.0.1:0"}
 	cfg.Names.Classes = []string{"status", "order", "payout"}
 	cfg.Limits.Sockets = sockets
-	a, err := ListenAdmin(cfg, slog.New(slog.DiscardHandler))
+	a, err := ListenAdmin(t.Context(), cfg, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -157,12 +157,12 @@
 	t.Parallel()
 	_, usedAddr := openAdmin(t, 256)
 	for _, addr := range []string{usedAddr, "nowhere", "127.0.0.1:99999"} {
-		_, err := ListenAdmin(Config{AdminAddr: addr}, slog.New(slog.DiscardHandler))
+		_, err := ListenAdmin(t.Context(), Config{AdminAddr: addr}, slog.New(slog.DiscardHandler))
 		if err == nil || !strings.HasPrefix(err.Error(), "operators' address: ") {
 			t.Errorf("%s: got %v", addr, err)
 		}
 	}
-	if a, err := ListenAdmin(Config{}, nil); err != nil || a.Close() != nil {
+	if a, err := ListenAdmin(t.Context(), Config{}, nil); err != nil || a.Close() != nil {
 		t.Errorf("without an address: got %v", err)
 	}
 }
--- a/internal/node/clock.go
+++ b/internal/node/clock.go
@@ -41,6 +41,9 @@
 		return timestampClock{start: start, startTimestamp: start.Round(0)}
 	}
 	base := clockBase{bootID: readBootID(), offset: time.Duration(start.UnixNano()) - monotonic}.rounded()
+	if base.bootID == "" { // it can't be read for the moment, and reboots are rare
+		base.bootID = stored.bootID
+	}
 	if stored.bootID != "" && stored.bootID == base.bootID {
 		base.offset = stored.offset
 	}
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -30,7 +30,6 @@
 	handoverTimeout   = time.Second             // limit of one handover, during which neither process makes decisions
 	lockHolderTimeout = 2500 * time.Millisecond // a lock holder that does not answer for so long is taken to hang
 	lockPoll          = 20 * time.Millisecond
-	addressPoll       = 50 * time.Millisecond
 	maxSocketPath     = 100 // bytes; the system allows 108
 )
 
@@ -279,7 +278,9 @@
 // The state comes from a process that hands the node over, or else from the journal. Start tries until one of
 // both succeeds or ctx ends.
 func Start(ctx context.Context, cfg Config, log *slog.Logger) (n *Node, ln net.Listener, err error) {
-	lock, err := os.OpenFile(filepath.Join(cfg.StateDir, lockName), os.O_RDWR|os.O_CREATE, 0o600)
+	lock, err := untilAvailable(ctx, log, "waiting until the lock can be opened", func() (*os.File, error) {
+		return os.OpenFile(filepath.Join(cfg.StateDir, lockName), os.O_RDWR|os.O_CREATE, 0o600)
+	})
 	if err != nil {
 		return nil, nil, fmt.Errorf("lock: %w", err)
 	}
@@ -313,30 +314,23 @@
 	if ln, err = listen(ctx, cfg.Listen, log); err != nil {
 		return nil, nil, err
 	}
-	if n, err = New(cfg, log); err != nil {
+	n, err = untilAvailable(ctx, log, "waiting until the journal can be opened", func() (*Node, error) { return New(cfg, log) })
+	if err != nil {
 		return nil, nil, errors.Join(err, ln.Close())
 	}
 	n.lock = lock
 	return n, ln, nil
 }
 
-// listen opens the address for clients, and waits while another process has it.
+// listen opens the address for clients, and waits while another process has it or the system is out of
+// something.
 func listen(ctx context.Context, addr string, log *slog.Logger) (net.Listener, error) {
-	for warned := false; ; warned = true {
-		ln, err := net.Listen("tcp", addr)
-		if err == nil {
-			return ln, nil
-		}
-		if !errors.Is(err, syscall.EADDRINUSE) {
-			return nil, fmt.Errorf("listen for clients: %w", err)
-		}
-		if !warned {
-			log.Warn("waiting until the clients' address is free", "err", err)
-		}
-		if !registry.Sleep(ctx, addressPoll) {
-			return nil, ctx.Err()
-		}
+	ln, err := untilAvailable(ctx, log, "waiting until the clients' address is free", func() (net.Listener, error) { return net.Listen("tcp", addr) },
+		syscall.EADDRINUSE)
+	if err != nil {
+		return nil, fmt.Errorf("listen for clients: %w", err)
 	}
+	return ln, nil
 }
 
 // takeOver asks the lock holder to hand over the node. It kills a lock holder that hangs, which frees the
@@ -409,7 +403,7 @@
 	if err := l.conn.SetDeadline(time.Time{}); err != nil {
 		return nil, nil, fmt.Errorf("handover: %w", err)
 	}
-	if n, err = New(cfg, log); err != nil {
+	if n, err = untilAvailable(ctx, log, "waiting until the journal can be opened", func() (*Node, error) { return New(cfg, log) }); err != nil {
 		return nil, nil, err
 	}
 	n.lock = lock
@@ -562,9 +556,14 @@
 	defer stop()
 	for {
 		conn, err := n.handoverListener.AcceptUnix()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return // handed over, or the node stops
 		}
+		if err != nil {
+			n.log.Warn("no other process can be accepted; trying again", "err", err)
+			registry.Sleep(ctx, acceptRetryDelay)
+			continue
+		}
 		l := newHandoverConn(conn)
 		conn.SetReadDeadline(time.Now().Add(handoverTimeout))
 		m, err := l.receive()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -259,7 +259,10 @@
 	}
 	if n.lock != nil {
 		var err error
-		if n.handoverListener, err = listenHandover(handoverSocketPath(n.cfg.StateDir)); err != nil {
+		n.handoverListener, err = untilAvailable(ctx, n.log, "waiting until the handover socket can be opened", func() (*net.UnixListener, error) {
+			return listenHandover(handoverSocketPath(n.cfg.StateDir))
+		})
+		if err != nil {
 			n.log.Error("no other process can take over from this one", "err", err)
 		} else {
 			tasks.Go(func() { n.acceptSuccessors(runCtx) })
