Node: a client hears that its message is accepted as soon as that is recorded

Cause: the reply waited for the records of the same step, of attempts for instance. It needs the record of the acceptance alone, which is written before the module hears of the message. Change: the reply is given at once. Evidence: by reading; TestFailingFolderKeepsWhatWasAccepted bounds replies that are missing to a tenth of those given, and passes.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -599,8 +599,8 @@
 	case m != nil && added[m.seq] != nil: // added in this batch; not accepted yet
 		added[m.seq] = append(added[m.seq], a)
 		return nil
-	case m != nil: // accepted before; another submission has no effect
-		n.actions = append(n.actions, guardedAction{run: func() { a.reply <- answer{} }})
+	case m != nil: // accepted before, which its record tells; another submission has no effect
+		a.reply <- answer{}
 		return nil
 	case n.ownership != nil && n.refuseForeign(a):
 		return nil
@@ -811,7 +811,8 @@
 }
 
 // step passes events to the module and carries out the actions that it decides on, in order, once the records
-// that guard them are written. The clients in added are told here whether their messages are accepted.
+// that guard them are written. The clients in added are told here whether their messages are accepted; the
+// records of their acceptance are written already.
 func (n *Node) step(ctx context.Context, events []choice.Event, added newMessages) {
 	calls := map[uint64]*outgoingCall{} // calls of this step, by the module's number; later sends may join them
 	for _, a := range n.sender.Step(n.now(), events) {
@@ -839,7 +840,7 @@
 		}
 	}
 	for seq := range added { // not refused, so accepted
-		n.actions = append(n.actions, guardedAction{run: func() { added.reply(seq, answer{}) }})
+		added.reply(seq, answer{})
 	}
 	n.updateMetrics()
 	if !n.flushJournal() {
