Node: a configuration that can't be read at SIGHUP is read again

What callers see: discovery moves, the file is unreadable or half written at the moment of the signal, and the node stays at the old address: after 1.5 s it hears of no change and no notice arrives. Cause: one try for each signal. Change: up to 50 tries, 0.1 s apart; a new signal starts anew; one log line. Result: TestSIGHUP passes with -race.

--- a/cmd/coralyard/main.go
+++ b/cmd/coralyard/main.go
@@ -12,10 +12,16 @@
 	"runtime/debug"
 	"sync"
 	"syscall"
+	"time"
 
 	"starlingusher/internal/node"
 )
 
+const (
+	reloadRetryDelay = 100 * time.Millisecond
+	maxReloadTries   = 50 // of one signal
+)
+
 func main() {
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: logLevel(os.Getenv("ROUTER_LOG"))}))
 	if err := run(log); err != nil {
@@ -95,19 +101,30 @@
 }
 
 // reload reads the configuration again at each SIGHUP, and moves the node to the discovery addresses in it.
-// An invalid configuration changes nothing.
+// An invalid configuration changes nothing. It is read again for a while: the file may be in the course of
+// being replaced, or unreadable for a moment.
 func reload(log *slog.Logger, hup <-chan os.Signal, done <-chan struct{}, n *node.Node) {
-	for {
+	retry := time.NewTimer(0)
+	retry.Stop()
+	for tries := 0; ; {
 		select {
 		case <-done:
 			return
 		case <-hup:
+			tries = 0
+		case <-retry.C:
 		}
 		cfg, err := load()
-		if err != nil {
-			log.Error("the configuration can't be reloaded; the old one stays", "err", err)
+		if err == nil {
+			retry.Stop()
+			n.Reload(cfg)
 			continue
 		}
-		n.Reload(cfg)
+		if tries == 0 {
+			log.Error("the configuration can't be reloaded; the old one stays", "err", err)
+		}
+		if tries++; tries < maxReloadTries {
+			retry.Reset(reloadRetryDelay)
+		}
 	}
 }
