--- a/cmd/cottonrack/lab.go
+++ b/cmd/cottonrack/lab.go
@@ -27,6 +27,7 @@
 	Check          labCheckCmd     `cmd:"" help:"Check an experiment file, and show the plan that is drawn from a seed; nothing is started."`
 	Report         labReportCmd    `cmd:"" help:"Write a report with plots from the results of a run."`
 	Compare        labCompareCmd   `cmd:"" help:"Run two builds or two experiments in turns with the same seeds, and print the paired differences."`
+	Soak           labSoakCmd      `cmd:"" help:"Play days with faults of all kinds, drawn from successive seeds, and check them against the rules."`
 	Kinds          labKindsCmd     `cmd:"" help:"List the kinds of faults for experiments."`
 	DirectorySize  labSizeCmd      `cmd:"" help:"Measure the directory: watches, writes, fail-over, and plain alternatives for comparison."`
 	PlainDirectory labPlainCmd     `cmd:"" hidden:""`
--- a/cmd/cottonrack/main.go
+++ b/cmd/cottonrack/main.go
@@ -14,6 +14,8 @@
 	"syscall"
 
 	"github.com/alecthomas/kong"
+
+	"starlingusher/internal/lab/syscallfault"
 )
 
 // The exit codes.
@@ -53,6 +55,7 @@
 }
 
 func main() {
+	syscallfault.RunStarter()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	code := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
 	stop()
--- a/cmd/cottonrack/main_test.go
+++ b/cmd/cottonrack/main_test.go
@@ -10,9 +10,12 @@
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"starlingusher/internal/lab/syscallfault"
 )
 
 func TestMain(m *testing.M) {
+	syscallfault.RunStarter()
 	testscript.Main(m, map[string]func(){
 		"cottonrack": func() {
 			ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
--- a/fleet/experiment/check.go
+++ b/fleet/experiment/check.go
@@ -151,6 +151,9 @@
 	return errors.Join(errs...)
 }
 
+// maxClockStep is the largest step of a wall clock, in seconds.
+const maxClockStep = 86400
+
 func (f *File) checkFault(x Fault, addError func(name, text string, args ...any)) {
 	kind, known := FaultKinds[x.Kind]
 	targets := kind.targets
@@ -192,8 +195,10 @@
 	}
 	low, high := 0.0, 1e6
 	switch x.Kind {
-	case "lossy", "failing", "silent", "swallow", "loss", "limit":
+	case "lossy", "failing", "silent", "swallow", "loss", "limit", "folder-errors", "socket-errors":
 		high = 1
+	case "clock-step":
+		low, high = -maxClockStep, maxClockStep
 	case "slow", "burst":
 		low = 1
 	case "rate":
@@ -202,7 +207,7 @@
 	if x.Size != (NumberRange{}) && !x.Size.within(low, high) {
 		addError("size", "size must be from %v to %v for a fault of kind %q", low, high, x.Kind)
 	}
-	if x.Size == (NumberRange{}) && slices.Contains([]string{"slow", "burst", "rate", "delay", "late-list", "loss", "limit"}, x.Kind) {
+	if x.Size == (NumberRange{}) && slices.Contains([]string{"slow", "burst", "rate", "delay", "late-list", "loss", "limit", "clock-step", "hold-up", "crowd", "folder-errors", "socket-errors"}, x.Kind) {
 		addError("size", "a fault of kind %q needs a size", x.Kind)
 	}
 	if !slices.Contains([]string{"", "both", "out", "back"}, x.Direction) {
@@ -211,7 +216,7 @@
 	if !slices.Contains([]string{"", "reset", "resume"}, x.ConnsAfter) {
 		addError("then", "then must be \"reset\" or \"resume\", is %q", x.ConnsAfter)
 	}
-	if _, isTrouble := partner.ParseFaultKind(x.Kind); x.Duration.Low == 0 && !isTrouble && !slices.Contains([]string{"reset", "move", "replace", "restart"}, x.Kind) {
+	if _, isTrouble := partner.ParseFaultKind(x.Kind); x.Duration.Low == 0 && !isTrouble && !slices.Contains([]string{"reset", "move", "replace", "restart", "clock-step", "signals"}, x.Kind) {
 		addError("for", "a fault of kind %q needs a duration: for", x.Kind)
 	}
 }
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -111,10 +111,12 @@
 		} else {
 			r.forEachNode(fault, "kill", func(n *node) error { return n.kill(fault.LoseState) })
 		}
-	case "restart":
+	case "restart", "signals":
 		if !ends {
-			r.forEachNode(fault, "restart", func(n *node) error { return n.restart(ctx) })
+			r.forEachNode(fault, fault.Kind, func(n *node) error { return n.restart(ctx, fault.Kind == "signals") })
 		}
+	case "clock-step", "hold-up", "crowd", "folder-errors", "socket-errors":
+		r.applyMachineFault(fault, ends)
 	case "stop":
 		sig, kind := syscall.SIGSTOP, history.Stopped
 		if ends {
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -16,10 +16,12 @@
 	"starlingusher/fleet/experiment"
 	"starlingusher/fleet/history"
 	"starlingusher/fleet/judge"
+	"starlingusher/internal/lab/syscallfault"
 )
 
 // TestMain runs a sender when a test starts this binary as a node.
 func TestMain(m *testing.M) {
+	syscallfault.RunStarter()
 	if fault, ok := os.LookupEnv("LAB_TEST_SENDER"); ok {
 		if err := runSender(fault); err != nil {
 			fmt.Fprintln(os.Stderr, err)
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -29,11 +29,12 @@
 
 // node is one delivery node: its directory and its current process.
 type node struct {
-	run    *run
-	number int
-	dir    string
-	log    *limitedWriter
-	wg     sync.WaitGroup
+	run     *run
+	number  int
+	dir     string
+	log     *limitedWriter
+	machine *machine
+	wg      sync.WaitGroup
 
 	mu               sync.Mutex
 	process          *proc.Process
@@ -68,7 +69,8 @@
 		return nil, fmt.Errorf("create log of %s: %w", n.name(), err)
 	}
 	n.log = &limitedWriter{file: f, remaining: maxNodeLogBytes}
-	return n, nil
+	n.machine, err = r.newMachine(number, n.dir)
+	return n, err
 }
 
 func (n *node) name() string { return n.run.plan.Nodes[n.number].Name }
@@ -119,12 +121,26 @@
 	if len(n.run.replicas) > 0 {
 		env = append(env, "ROUTER_FLEET="+filepath.Join(n.dir, "fleet.toml"))
 	}
-	process, err := n.run.sup.Start(proc.Spec{
-		Name: p.Name, Command: n.run.opts.Command, Env: env, Output: n.log, MaxDescriptors: p.Sockets, DiskFull: n.diskIsFull,
-	})
+	command, env, socket, injector, err := n.machine.prepare(n.run.opts.Command, env)
 	if err != nil {
 		return err
 	}
+	spec := proc.Spec{Name: p.Name, Command: command, Env: env, Output: n.log, MaxDescriptors: p.Sockets, DiskFull: n.diskIsFull}
+	if injector != nil {
+		defer socket.Close()
+		spec.ExtraFiles = []*os.File{socket}
+	}
+	process, err := n.run.sup.Start(spec)
+	if err != nil {
+		return err
+	}
+	if injector != nil {
+		injector.Run()
+		n.wg.Go(func() {
+			process.Wait()
+			injector.Close()
+		})
+	}
 	n.process, n.exitRequested, n.ready = process, false, false
 	n.usage.Starts++
 	n.recordEvent(history.Started, "", strconv.Itoa(process.PID()))
@@ -282,12 +298,16 @@
 	return nil
 }
 
-// restart ends the process as the platform does in a planned restart, and starts it again.
-func (n *node) restart(ctx context.Context) error {
+// restart ends the process as the platform does in a planned restart, and starts it again. In a series more
+// signals follow the first.
+func (n *node) restart(ctx context.Context, series bool) error {
 	p, err := n.signal(syscall.SIGTERM, history.TermSent)
 	if err != nil || p == nil {
 		return err
 	}
+	if series {
+		n.run.wg.Go(func() { n.run.recordFailure("signals to "+n.name(), n.sendSignals(p)) })
+	}
 	t := time.NewTimer(termGrace)
 	defer t.Stop()
 	select {
--- a/internal/lab/proc/proc.go
+++ b/internal/lab/proc/proc.go
@@ -25,11 +25,12 @@
 	Command        []string
 	Env            []string // the complete environment
 	Dir            string
-	Stdin          io.Reader // nil: none
-	Stdout         io.Writer // nil: standard output goes to Output too
-	Output         io.Writer // for standard output and error; nil: discarded
-	MaxDescriptors int       // 0: as in this process
-	DiskFull       bool      // all writes to files fail, as on a full disk, until SetDiskFull(false)
+	Stdin          io.Reader  // nil: none
+	Stdout         io.Writer  // nil: standard output goes to Output too
+	Output         io.Writer  // for standard output and error; nil: discarded
+	MaxDescriptors int        // 0: as in this process
+	ExtraFiles     []*os.File // inherited as descriptors 3 and up; the caller closes its own
+	DiskFull       bool       // all writes to files fail, as on a full disk, until SetDiskFull(false)
 }
 
 // Exit tells how a process ended.
@@ -112,6 +113,7 @@
 	if spec.Stdout != nil {
 		cmd.Stdout = spec.Stdout
 	}
+	cmd.ExtraFiles = spec.ExtraFiles
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	cmd.WaitDelay = 2 * time.Second // for its output, if something keeps that open
 	p := &Process{spec: spec, cmd: cmd, done: make(chan struct{})}
