Directory: no watch joins a closing server; TestListBoundIsEnforced tells own entries apart

Seen: the race detector saw WaitGroup.Add beside Wait in TestWatcherOfPartitionsRejectsOlderReplicas; a refused write was proposed: entry 6 after 5. Cause of the second: the test counted entries of Raft's log, to which the leader adds some of its own. It reads each entry now and refuses any write among them, which is as strict for what it says and also names the write.

--- a/internal/directory/parts_test.go
+++ b/internal/directory/parts_test.go
@@ -544,8 +544,25 @@
 	expectFull(err, "a whole list")
 	err = op.call(t.Context(), nil, http.MethodPut, "/registry/registrations/d", "", map[string]any{"member": endpointOf("d", 1), "ttl_ms": 1000})
 	expectFull(err, "a registration")
-	if after := o.server.currentStatus(false).Applied; after != before {
-		t.Errorf("a refused write was proposed: entry %d after %d", after, before)
+	last, err := o.replica.store.LastIndex()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := before + 1; i <= last; i++ { // the leader may add entries of its own
+		var entry raft.Log
+		if err := o.replica.store.GetLog(i, &entry); err != nil {
+			t.Fatal(err)
+		}
+		if entry.Type != raft.LogCommand {
+			continue
+		}
+		var c catalog.Command
+		if err := decodeWithChecksum(commandMark, entry.Data, &c); err != nil {
+			t.Fatal(err)
+		}
+		if c.Write != nil {
+			t.Errorf("a refused write was proposed: entry %d after %d: %+v", i, before, c.Write)
+		}
 	}
 	put(t, o, "*", endpointOf("a", 9), deleted(endpointOf("b", 2)))
 	put(t, o, "*", endpointOf("d", 1))
--- a/internal/directory/server.go
+++ b/internal/directory/server.go
@@ -117,7 +117,7 @@
 	s.cancel()
 	err := s.http.Close()
 	s.goroutines.Wait()
-	s.watches.running.Wait()
+	s.watches.closeAndWait()
 	return errors.Join(err, s.notices.close())
 }
 
--- a/internal/directory/watch.go
+++ b/internal/directory/watch.go
@@ -29,13 +29,23 @@
 	running sync.WaitGroup
 	mu      sync.Mutex
 	all     map[*watchConn]bool
+	closed  bool
 }
 
-// add adds a watch if the limit allows it.
+// closeAndWait lets no further watch in, and waits for the end of those that are open. Closing the HTTP server does
+// not wait for its handlers.
+func (w *watchSet) closeAndWait() {
+	w.mu.Lock()
+	w.closed = true
+	w.mu.Unlock()
+	w.running.Wait()
+}
+
+// add adds a watch if the limit allows it and the set is not closed.
 func (w *watchSet) add(conn *watchConn, limit int) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if len(w.all) >= limit {
+	if w.closed || len(w.all) >= limit {
 		return false
 	}
 	w.all[conn] = true
