Node: after a hold-up the loop lets its readers run before the next decision

Cause: the answer had arrived while the process was held up; its wake came first, and the module decided without it. Change: a loop that wakes over 25 ms late sleeps 5 ms and then takes all events that are there.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,9 +24,12 @@
 const (
 	// epoch is the module's time when the process starts. It leaves room for times before a restart, which
 	// must stay above zero.
-	epoch      = 48 * time.Hour
-	maxBatch   = 256 // maximum number of events in one Step
-	eventQueue = 1024
+	epoch    = 48 * time.Hour
+	maxBatch = 256 // maximum number of events in one Step
+	// A process that wakes so late was held up, and its other goroutines get some time to read what has arrived.
+	maxWakeLateness = 25 * time.Millisecond
+	settleTime      = 5 * time.Millisecond
+	eventQueue      = 1024
 	// After SIGTERM clients keep connecting for 0.4 s, and SIGKILL follows after 3.7 s. The module learns at
 	// once when the node will stop, and sends the messages whose calls can end before that. Messages are
 	// accepted all that time: the journal keeps them for the next start.
@@ -505,6 +508,9 @@
 		case <-stopped:
 			return
 		}
+		if n.isLate() { // what came meanwhile, such as an answer that asks for a wait, is heard before the next decision
+			registry.Sleep(ctx, settleTime)
+		}
 		for more := true; more && len(batch) < maxBatch; {
 			select {
 			case e := <-n.events:
@@ -517,6 +523,9 @@
 	}
 }
 
+// isLate reports whether the process seems to have been held up: it missed its wake by far.
+func (n *Node) isLate() bool { return n.wakeAt > 0 && n.now()-n.wakeAt > maxWakeLateness }
+
 // timeToWake returns the time until the module wants to be woken, or until the next try to write a journal
 // that could not be written.
 func (n *Node) timeToWake() time.Duration {
