Node: one failed accept costs a millisecond, not 50

Cause: each failed accept paused the loop for 50 ms, also ECONNABORTED, which says nothing of the next one. Change: 1 ms, doubled for each further failure in a row, 50 ms at most, so that a lasting error does not spin.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -24,6 +24,10 @@
 // The reader below replaces the one of redcon v1.6.4, which indexes out of its buffer on a bulk length near
 // the largest integer, loops over any announced array length, and buffers requests without bound.
 
+// minAcceptRetryDelay is the pause after a connection could not be accepted; it is doubled for each further one in a
+// row.
+const minAcceptRetryDelay = time.Millisecond
+
 const (
 	maxBody          = 64 << 10 // bytes
 	maxArgSize       = 1 << 10  // bytes of each argument but the body
@@ -39,7 +43,7 @@
 	// connecting; idleTimeout and requestTimeout together ensure that. Other clients give up on a reply after
 	// 0.4 s.
 	idleTimeout       = 2 * time.Second
-	acceptRetryDelay  = 50 * time.Millisecond  // after a connection could not be accepted
+	acceptRetryDelay  = 50 * time.Millisecond  // after a connection could not be accepted several times in a row
 	requestTimeout    = 800 * time.Millisecond // from a request's first byte to its last, and to write a reply
 	reconnectTime     = 100 * time.Millisecond // for requests that crossed the close of their connection and are sent again on a new one
 	shutdownGrace     = 200 * time.Millisecond // for requests that are partly read when the node shuts down
@@ -403,16 +407,19 @@
 // that has been idle longest, and the next connection waits in the backlog until the slot is free.
 func (s *clientServer) serve(ctx context.Context) {
 	defer close(s.acceptDone)
+	retryDelay := minAcceptRetryDelay
 	for s.acquireSlot() {
 		nc, err := s.listener.Accept()
 		if err != nil {
 			<-s.slots
 			s.log.Debug("no connection accepted", "err", err)
-			if !s.acceptMore(ctx, err) {
+			if !s.acceptMore(ctx, err, retryDelay) {
 				return
 			}
+			retryDelay = min(2*retryDelay, acceptRetryDelay)
 			continue
 		}
+		retryDelay = minAcceptRetryDelay
 		s.wg.Go(func() {
 			defer func() { <-s.slots }()
 			s.serveConn(nc)
@@ -442,14 +449,14 @@
 
 // acceptMore reports whether to go on accepting after an error. A deadline is set when the node shuts down;
 // connections that have arrived by then are served.
-func (s *clientServer) acceptMore(ctx context.Context, err error) bool {
+func (s *clientServer) acceptMore(ctx context.Context, err error, retryDelay time.Duration) bool {
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return connectionArrived(s.listener) && s.acceptUntil(time.Now().Add(finalAcceptTime)) == nil
 	case errors.Is(err, net.ErrClosed):
 		return false
 	}
-	return registry.Sleep(ctx, acceptRetryDelay) // most likely the process or the system is out of something
+	return registry.Sleep(ctx, retryDelay) // most likely the process or the system is out of something
 }
 
 // acceptUntil ends accepting at the given time, if the listener supports that, and otherwise now.
