Directory: its listener outlasts failed accepts; package sysretry serves node and directory

Need: the same mistake elsewhere. The directory's server ended, and the replica with it, at an error of accept that net/http does not know as temporary (ENOBUFS, ENOMEM, ENETUNREACH), as the operators' address of the node did. Change: available.go of the node becomes internal/sysretry with a Listener that accepts on; both servers use it. Result: TestListenerOutlastsTransientErrors and TestUntilTriesAgain pass with -race, as do the tests of the operators' address and the handover.

--- a/internal/directory/server.go
+++ b/internal/directory/server.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"starlingusher/fleet/catalog"
+	"starlingusher/internal/sysretry"
 )
 
 // Response headers in addition to those of the platform's discovery.
@@ -104,7 +105,7 @@
 		},
 	}
 	s.goroutines.Go(func() {
-		if err := s.http.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.http.Serve(sysretry.Listener{Listener: ln}); !errors.Is(err, http.ErrServerClosed) {
 			r.reportFailure(fmt.Errorf("http: %w", err))
 		}
 	})
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -13,6 +13,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"starlingusher/internal/sysretry"
 )
 
 const (
@@ -38,11 +40,11 @@
 	if cfg.AdminAddr == "" {
 		return a, nil
 	}
-	ln, err := untilAvailable(ctx, log, "waiting until the operators' address can be opened", func() (net.Listener, error) { return net.Listen("tcp", cfg.AdminAddr) })
+	ln, err := sysretry.Until(ctx, log, "waiting until the operators' address can be opened", func() (net.Listener, error) { return net.Listen("tcp", cfg.AdminAddr) })
 	if err != nil {
 		return nil, fmt.Errorf("operators' address: %w", err)
 	}
-	a.listener = &cappedListener{Listener: ln, maxConns: max(cfg.Limits.Sockets/operatorSocketsDivisor, 4), conns: map[*operatorConn]bool{}}
+	a.listener = &cappedListener{Listener: sysretry.Listener{Listener: ln}, maxConns: max(cfg.Limits.Sockets/operatorSocketsDivisor, 4), conns: map[*operatorConn]bool{}}
 	a.server = &http.Server{
 		Handler: a.handler(), MaxHeaderBytes: adminMaxHeaderSize,
 		ReadHeaderTimeout: adminHeaderTimeout, ReadTimeout: adminTimeout, WriteTimeout: adminTimeout,
@@ -152,10 +154,6 @@
 func (l *cappedListener) Accept() (net.Conn, error) {
 	for {
 		nc, err := l.Listener.Accept()
-		if isTransient(err) { // the server would end, or not, by the kind of error
-			time.Sleep(acceptRetryDelay)
-			continue
-		}
 		if err != nil {
 			return nil, err
 		}
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -19,6 +19,7 @@
 	"starlingusher/choice"
 	"starlingusher/fleet/catalog"
 	"starlingusher/internal/registry"
+	"starlingusher/internal/sysretry"
 )
 
 // Of a node's processes the one that holds the lock in the state folder decides and writes the journal.
@@ -278,7 +279,7 @@
 // The state comes from a process that hands the node over, or else from the journal. Start tries until one of
 // both succeeds or ctx ends.
 func Start(ctx context.Context, cfg Config, log *slog.Logger) (n *Node, ln net.Listener, err error) {
-	lock, err := untilAvailable(ctx, log, "waiting until the lock can be opened", func() (*os.File, error) {
+	lock, err := sysretry.Until(ctx, log, "waiting until the lock can be opened", func() (*os.File, error) {
 		return os.OpenFile(filepath.Join(cfg.StateDir, lockName), os.O_RDWR|os.O_CREATE, 0o600)
 	})
 	if err != nil {
@@ -314,7 +315,7 @@
 	if ln, err = listen(ctx, cfg.Listen, log); err != nil {
 		return nil, nil, err
 	}
-	n, err = untilAvailable(ctx, log, "waiting until the journal can be opened", func() (*Node, error) { return New(cfg, log) })
+	n, err = sysretry.Until(ctx, log, "waiting until the journal can be opened", func() (*Node, error) { return New(cfg, log) })
 	if err != nil {
 		return nil, nil, errors.Join(err, ln.Close())
 	}
@@ -325,7 +326,7 @@
 // listen opens the address for clients, and waits while another process has it or the system is out of
 // something.
 func listen(ctx context.Context, addr string, log *slog.Logger) (net.Listener, error) {
-	ln, err := untilAvailable(ctx, log, "waiting until the clients' address is free", func() (net.Listener, error) { return net.Listen("tcp", addr) },
+	ln, err := sysretry.Until(ctx, log, "waiting until the clients' address is free", func() (net.Listener, error) { return net.Listen("tcp", addr) },
 		syscall.EADDRINUSE)
 	if err != nil {
 		return nil, fmt.Errorf("listen for clients: %w", err)
@@ -403,7 +404,7 @@
 	if err := l.conn.SetDeadline(time.Time{}); err != nil {
 		return nil, nil, fmt.Errorf("handover: %w", err)
 	}
-	if n, err = untilAvailable(ctx, log, "waiting until the journal can be opened", func() (*Node, error) { return New(cfg, log) }); err != nil {
+	if n, err = sysretry.Until(ctx, log, "waiting until the journal can be opened", func() (*Node, error) { return New(cfg, log) }); err != nil {
 		return nil, nil, err
 	}
 	n.lock = lock
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"starlingusher/choice"
 	"starlingusher/fleet/catalog"
 	"starlingusher/internal/registry"
+	"starlingusher/internal/sysretry"
 )
 
 const (
@@ -262,7 +263,7 @@
 	}
 	if n.lock != nil {
 		var err error
-		n.handoverListener, err = untilAvailable(ctx, n.log, "waiting until the handover socket can be opened", func() (*net.UnixListener, error) {
+		n.handoverListener, err = sysretry.Until(ctx, n.log, "waiting until the handover socket can be opened", func() (*net.UnixListener, error) {
 			return listenHandover(handoverSocketPath(n.cfg.StateDir))
 		})
 		if err != nil {
