Module: an answer close to a message's deadline does not count, as it may be over already

What callers see: payouts and orders without an end (rule lost), up to a whole batch at a time, where a hung endpoint answers a call as the first of its messages is over. Cause: a node counts a deadline from when it has read the request. Class: a time measured from the wrong moment. Such an answer is ambiguous: the message ends as failed by a notice, which does no harm to one that was delivered; time-outs stay as they were.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -94,6 +94,7 @@
 	minWakeInterval         = 10 * time.Millisecond  // minimum time between wakes,
 	pollInterval            = 30 * time.Millisecond  // and the time between them while a message waits
 	answerMargin            = 15 * time.Millisecond  // a message gets its final answer so long before its deadline
+	maxHoldUp               = 150 * time.Millisecond // a node may read a request so long after it was sent, so that the deadline is sooner than it seems
 
 	// Stopping. A call that is cut off may have run. So a message is sent only if so many typical times are
 	// left before the process ends: more for one that may not be repeated. The others are left to the next
@@ -1272,7 +1273,7 @@
 		newConn := s.now < s.distrustReusedUntil && (o.class.Effect == AtMostOnce || o.attempts > 1)
 		s.emit(Send{
 			ID: o.id, Endpoint: e.id, Call: s.callsMade, TimeoutAt: s.timeoutAt(o, e), StartBy: s.latestStart(o),
-			ResultBy: o.resultBy(), NewConn: newConn,
+			ResultBy: o.resultBy() - maxHoldUp, NewConn: newConn,
 		})
 	}
 	r.tokens--
@@ -1289,7 +1290,8 @@
 	d.slotTime += seconds(slotTimeCharge)
 }
 
-// resultBy is the time after which an answer about the message no longer counts.
+// resultBy is the time after which an answer about the message no longer counts, if the node has read the request at
+// once.
 func (m *message) resultBy() time.Duration { return m.deadline - answerMargin/2 }
 
 // timeoutAt is the time at which an attempt is abandoned. An AtMostOnce message can't be sent again, so its
