--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -1120,3 +1120,22 @@
 		}
 	}
 }
+
+// The node may have read a request late, so that an answer shortly before the deadline that it knows came too late for
+// the platform. Such a message still gets its end, by a notice.
+func TestAnswerCloseToDeadlineIsFollowedByNotice(t *testing.T) {
+	t.Parallel()
+	const timeToLive, beforeDeadline = time.Second, 60 * time.Millisecond
+	var submittedAt atomic.Int64
+	p := newFakeEndpoint(t, func(nc net.Conn, _ *http.Request) bool {
+		time.Sleep(time.Until(time.Unix(0, submittedAt.Load()).Add(timeToLive - beforeDeadline)))
+		return respondWith(okResponse)(nc, nil)
+	})
+	r := newFakeRegistry(t)
+	addr, _ := startNode(t, r, t.TempDir(), memberJSON("e", p.addr(), 7, "SERVING"))
+	for _, class := range []string{"status", "order", "payout"} {
+		submittedAt.Store(time.Now().UnixNano())
+		mustAnswer(t, addr, enqueueCommand(class, "c="+class+",d=1000,dest=7,k=key", ""), "+OK")
+		eventually(t, "a notice for the "+class, func() bool { return r.noticeState(class) != "" })
+	}
+}
