--- a/review/standin/partner.go
+++ b/review/standin/partner.go
@@ -21,7 +21,7 @@
 
 // Verdict is how an endpoint deals with a call.
 type Verdict struct {
-	Status int           // of the answer
+	Status int           // of the answer; 0 for none, as the connection has ended
 	Runs   bool          // the call takes effect
 	Pace   time.Duration // time until the answer
 }
@@ -121,7 +121,7 @@
 	}
 	timer := time.NewTimer(verdict.Pace)
 	defer timer.Stop()
-	ended := false
+	ended := verdict.Status == 0
 	select {
 	case <-gone:
 		ended = true
