--- a/review/play/payout.go
+++ b/review/play/payout.go
@@ -110,10 +110,14 @@
 			payouts = append(payouts, m)
 		}
 	}
-	for range 4 { // ordinary traffic
-		submit("status-notice", 1, 5*time.Second, 200)
-		submit("status-notice", 2, 5*time.Second, 200)
-		time.Sleep(600 * time.Millisecond)
+	for i := range 8 { // ordinary traffic; with it the partner that hangs gets a quarter of all messages
+		if i%2 == 0 {
+			submit("status-notice", 1, 5*time.Second, 200)
+		}
+		for range 6 {
+			submit("status-notice", 2, 5*time.Second, 200)
+		}
+		time.Sleep(400 * time.Millisecond)
 	}
 
 	partner.hang()
