Node: a message's number is never given again, also after a compaction and an upgrade

Callers saw payouts sent twice after an upgrade while a partner hung: handed in right after it, sent, and sent again 1.5 s later with the first call still out; the partner ran both.

Cause: openJournal took the next number from the records in the file, and compact writes live messages only. So numbers of messages that had ended were given again by the next process, while a call of the predecessor with these messages was still out. Attempts are known by message number and attempt number, in the node and the module; the outcome of the old call ended the new messages' own attempts.

Numbers 55 to 59 are accepted in both; the new payouts' attempts end with took=9.63s, the age of the old call, when they are 1.5 s old. Excluded: wrong attempts reported by the old process (its call has 54 to 60), and a resend by the module without an outcome.

Change: a compaction keeps the highest number in use, as the end of a message that is not live, which older builds read too. The handover tells the next number; without it, from an older build, the successor goes past all numbers in the state. An outcome of the predecessor's counts only for an attempt that was handed over.

--- a/internal/node/formats_b_test.go
+++ b/internal/node/formats_b_test.go
@@ -19,7 +19,7 @@
 	var filled handoverMessage
 	golden.Fill(&filled)
 	empty := handoverMessage{State: &handoverState{}, Outcome: &callOutcome{Attempts: []outstandingAttempt{{}}, PerItem: []itemOutcome{{}}}, Request: &forwardedRequest{}, Command: &forwardedCommand{}, Answer: &forwardedAnswer{}}
-	for name, m := range map[string]handoverMessage{"handover_filled_timestamp.json": filled, "handover_empty.json": empty, "handover_null.json": {}} {
+	for name, m := range map[string]handoverMessage{"handover_filled_next_seq.json": filled, "handover_empty.json": empty, "handover_null.json": {}} {
 		encoded, err := json.MarshalIndent(m, "", " ")
 		if err != nil {
 			t.Fatal(err)
@@ -49,6 +49,21 @@
 	}
 }
 
+// A build without handoverState.NextSeq sends the timestamp, but not the number of the next message.
+func TestHandoverMessageWithoutNextSeq(t *testing.T) {
+	raw, err := os.ReadFile(filepath.Join("testdata", "formats", "handover_filled_timestamp.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var decoded handoverMessage
+	if err := json.Unmarshal(raw, &decoded); err != nil {
+		t.Fatal(err)
+	}
+	if s := decoded.State; s == nil || s.Timestamp.IsZero() || s.NextSeq != 0 || len(s.Outstanding) != 2 {
+		t.Errorf("decoded %+v", decoded.State)
+	}
+}
+
 // The request line, headers and body of a call with one message and of a batch.
 func TestRequestFormat(t *testing.T) {
 	var items []item
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -70,7 +70,21 @@
 	Members     []catalog.Endpoint
 	Waits       map[string]int64     // by endpoint ID: until when it gets no calls, in nanoseconds of Unix time by the wall clock at At; the same for all of a route
 	Outstanding []outstandingAttempt `json:"Out"`
-	Timestamp   time.Time            `json:",omitzero"` // At by the timestampClock; older builds don't send it
+	Timestamp   time.Time            `json:",omitzero"`  // At by the timestampClock; older builds don't send it
+	NextSeq     uint64               `json:",omitempty"` // the number of the next message; older builds don't send it
+}
+
+// nextSeq returns a number above those of all messages that the state names. The journal may know less: it forgets
+// messages that have ended, and attempts of these may be in flight.
+func (s *handoverState) nextSeq() uint64 {
+	next := max(s.NextSeq, 1)
+	for _, o := range s.Outstanding {
+		next = max(next, o.Seq+1)
+	}
+	for _, m := range s.Sender.Messages {
+		next = max(next, parseChoiceID(m.ID)+1)
+	}
+	return next
 }
 
 // outstandingAttempt identifies an attempt in flight, with what the node needs to know of its message if the
@@ -449,6 +463,7 @@
 // stopped.
 func (n *Node) restore(l *handoverConn, state *handoverState, sender *choice.Sender) {
 	n.sender, n.predecessor = sender, l
+	n.journal.nextSeq = max(n.journal.nextSeq, state.nextSeq())
 	handedOverAt := time.Now().Add(-time.Since(state.At))
 	if !state.Timestamp.IsZero() {
 		handedOverAt = n.journal.clock.time(state.Timestamp)
@@ -523,7 +538,7 @@
 	}}
 	for i, a := range o.Attempts {
 		key := attemptKey{a.Seq, a.Attempt}
-		if _, out := n.outstanding[key]; !out {
+		if !n.outstanding[key].fromPredecessor { // ended, or an attempt of this process
 			continue
 		}
 		c.attempts = append(c.attempts, key)
@@ -598,7 +613,7 @@
 	}
 	now := time.Now()
 	state := handoverState{
-		Clock: n.moduleTime(now), At: now, Timestamp: n.journal.clock.timestamp(now), Sender: saved, ListSource: n.listPosition.Server, Revision: n.listPosition.Revision, History: n.listPosition.History,
+		Clock: n.moduleTime(now), At: now, Timestamp: n.journal.clock.timestamp(now), NextSeq: n.journal.nextSeq, Sender: saved, ListSource: n.listPosition.Server, Revision: n.listPosition.Revision, History: n.listPosition.History,
 		Members: slices.Collect(maps.Values(n.members)), Waits: map[string]int64{},
 	}
 	for id, e := range n.endpoints {
--- a/internal/node/handover_test.go
+++ b/internal/node/handover_test.go
@@ -25,6 +25,12 @@
 
 // startProcess starts a process of the node with the state folder state, at addr if that is not empty.
 func startProcess(t *testing.T, r *fakeRegistry, state, addr string, known ...string) *nodeProcess {
+	t.Helper()
+	return startConfiguredProcess(t, r, state, addr, nil, known...)
+}
+
+// startConfiguredProcess is startProcess with a changed configuration.
+func startConfiguredProcess(t *testing.T, r *fakeRegistry, state, addr string, alter func(*Config), known ...string) *nodeProcess {
 	t.Helper()
 	if addr == "" {
 		addr = "127.0.0.1:0"
@@ -33,6 +39,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	if alter != nil {
+		alter(&cfg)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n, ln, err := Start(ctx, cfg, slog.New(slog.DiscardHandler))
 	if err != nil {
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -112,8 +112,8 @@
 	enabledAt        map[string]time.Time // by endpoint ID: when an operator last enabled it again, as a timestamp
 	liveSize         int64                // sum of the sizes of all live messages and known endpoints
 	unwritten        []byte               // records not yet in the file
-	nextSeq          uint64
-	incomplete       bool // the file lacks records of the live state; only a new file has them all
+	nextSeq          uint64               // above the number of every message of this node, also of those that are not in the file any more
+	incomplete       bool                 // the file lacks records of the live state; only a new file has them all
 	compactNotBefore time.Time
 	corruption       string // describes what replay could not read, if anything
 	clock            timestampClock
@@ -384,6 +384,10 @@
 	return binary.AppendUvarint(newRecord(kind, seq), uint64(attempt))
 }
 
+// numbersUsedRecord tells that all numbers below next are in use. It is the end of a message that is not live, which
+// every build skips but for its number.
+func numbersUsedRecord(next uint64) []byte { return newRecord(recordDone, next-1) }
+
 func finalRecord(seq uint64, final finalAnswer) []byte {
 	failed := uint64(0)
 	if final.failed {
@@ -462,6 +466,7 @@
 	if j.storedClockBase.bootID != "" {
 		writeRecord(clockRecord(j.storedClockBase))
 	}
+	writeRecord(numbersUsedRecord(j.nextSeq)) // before the live messages, of which one may have the last number
 	now := j.clock.timestamp(time.Now())
 	for _, id := range j.knownEndpoints {
 		writeRecord(endpointRecord(recordListed, id, now))
--- a/internal/node/journal_test.go
+++ b/internal/node/journal_test.go
@@ -89,6 +89,30 @@
 	checkLive(t, openTestJournal(t, dir, 3).live, want)
 }
 
+// The number of a message that has ended is not given again by a later process: a call with the message may still be in
+// flight at a predecessor. It guards against a compaction that forgets the numbers of the messages that it leaves out.
+func TestNumbersOfEndedMessagesAreNotReused(t *testing.T) {
+	dir := t.TempDir()
+	j := openTestJournal(t, dir, 3)
+	kept, ended := mustAccept(t, j, "kept", nil), mustAccept(t, j, "ended", nil)
+	j.add(newRecord(recordDone, ended.seq))
+	for process := range 3 { // a number is not forgotten by the second or third compaction either
+		if err := j.compact(); err != nil {
+			t.Fatal(err)
+		}
+		if j = openTestJournal(t, dir, 3); j.nextSeq != ended.seq+1 || j.live[kept.seq] == nil {
+			t.Fatalf("process %d: the next number is %d, live messages %d; want %d and 1", process, j.nextSeq, len(j.live), ended.seq+1)
+		}
+	}
+	newest := mustAccept(t, j, "newest", nil)
+	if err := j.compact(); err != nil {
+		t.Fatal(err)
+	}
+	if again := openTestJournal(t, dir, 3); again.live[newest.seq] == nil || again.nextSeq != newest.seq+1 {
+		t.Errorf("the newest message is lost, or its number free: next number %d", again.nextSeq)
+	}
+}
+
 // A kill can truncate the last record at any byte. All records before it must be read, and the journal must
 // be readable after further records.
 func TestTruncatedJournal(t *testing.T) {
