Node: a connection rests after an answer, so that more from the endpoint meets no call

Cause: a connection was given to the next call at once. conn.isQuiet proves that nothing has arrived before the request is written, not that nothing is on its way: what came between that look and the next answer was taken for the answer.

Change: a connection rests for 50 ms after an answer before it carries the next call, and the look comes after that. A call takes the most recently used connection that has rested, or waits for the first that will have.

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -102,6 +102,7 @@
 	br           *bufio.Reader
 	idleWatchErr chan error  // receives the error that ended the watch of the idle connection
 	abandoned    atomic.Bool // its call is over: the deadline has passed or it was canceled
+	restedAt     time.Time   // when it may carry the next call; zero if it has carried none
 	finalReads   int         // reads of what had already arrived, since the call was abandoned
 }
 
@@ -146,10 +147,11 @@
 	if !c.mayBegin() || ctx.Err() != nil {
 		return callResult{outcome: choice.Stale}
 	}
-	k := p.takeIdle(c.endpoint)
-	if k != nil && c.newConn { // the new connection replaces the idle one, because an endpoint accepts only so many
-		k.Close()
-		k = nil
+	var k *conn
+	if c.newConn {
+		p.closeNewestIdle(c.endpoint.id) // the new connection replaces it, because an endpoint accepts only so many
+	} else if k = p.takeIdle(ctx, c.endpoint, c.startBy); ctx.Err() != nil && k == nil {
+		return callResult{outcome: choice.Stale}
 	}
 	reused := k != nil
 	if !reused {
@@ -157,7 +159,7 @@
 			return callResult{outcome: choice.Unreachable}
 		}
 	}
-	// A dial takes up to a second, and more while the network path is down. A wait, a drain or a deadline may
+	// A connection rests before it is used again, and a dial takes up to a second, or more while the network path is down. A wait, a drain or a deadline may
 	// come up meanwhile, or the call may be canceled; then the first byte must not be sent.
 	if ctx.Err() != nil || !c.mayBegin() {
 		p.putIdle(c.endpoint, k)
@@ -167,6 +169,7 @@
 	res, reuse := k.exchange(ctx, request, c)
 	res.reusedConn = reused
 	if stop() && reuse {
+		k.restedAt = time.Now().Add(reuseDelay)
 		p.putIdle(c.endpoint, k)
 	} else {
 		k.Close()
--- a/internal/node/idle_conns.go
+++ b/internal/node/idle_conns.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"errors"
 	"os"
 	"slices"
@@ -13,27 +14,74 @@
 // idleMargin is the time that an answer travels, by which an endpoint's idle timer may run ahead of ours.
 const idleMargin = 400 * time.Millisecond
 
-// takeIdle returns the most recently used idle connection to the endpoint that still works, or nil.
-func (p *pool) takeIdle(e *endpoint) *conn {
-	for {
-		p.mu.Lock()
-		idle := p.idle[e.id]
-		if len(idle) == 0 {
-			p.mu.Unlock()
+// reuseDelay is how long a connection rests after an answer. An endpoint may send more than its answer: what arrives by then
+// closes the connection, and what arrives later would be taken for the answer of the next call.
+const reuseDelay = 50 * time.Millisecond
+
+// takeIdle returns an idle connection to the endpoint that still works and has rested, or nil. It prefers the most recently
+// used one that has rested already, and otherwise waits for the first to have rested, if that is before startBy.
+func (p *pool) takeIdle(ctx context.Context, e *endpoint, startBy time.Time) *conn {
+	for ctx.Err() == nil {
+		k := p.claimIdle(e.id, startBy)
+		if k == nil {
 			return nil
 		}
-		k := idle[len(idle)-1]
-		p.removeIdle(e.id, len(idle)-1)
-		p.mu.Unlock()
-		// This interrupts the read of the idle watch. If the endpoint had closed the connection or sent
-		// anything, the read would have ended with another error, and a request would be answered by a reset.
-		k.SetReadDeadline(pastDeadline)
-		err := <-k.idleWatchErr
-		if errors.Is(err, os.ErrDeadlineExceeded) && k.addr == e.addr && k.isQuiet() && k.SetReadDeadline(time.Time{}) == nil {
+		if k.addr == e.addr && k.finishRest(ctx) {
 			return k
 		}
 		k.Close()
 	}
+	return nil
+}
+
+// claimIdle removes the connection that takeIdle prefers from the pool. It returns nil if there is none.
+func (p *pool) claimIdle(id string, startBy time.Time) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	idle := p.idle[id]
+	if len(idle) == 0 {
+		return nil
+	}
+	now, best := time.Now(), len(idle)-1
+	for i := len(idle) - 1; i >= 0 && now.Before(idle[best].restedAt); i-- {
+		if idle[i].restedAt.Before(idle[best].restedAt) {
+			best = i
+		}
+	}
+	k := idle[best]
+	if now.Before(k.restedAt) && !startBy.IsZero() && startBy.Before(k.restedAt) {
+		return nil
+	}
+	p.removeIdle(id, best)
+	return k
+}
+
+// finishRest waits until a claimed connection has rested, and reports whether it still works and nothing has arrived.
+func (k *conn) finishRest(ctx context.Context) bool {
+	rested := time.NewTimer(time.Until(k.restedAt))
+	defer rested.Stop()
+	select {
+	case <-k.idleWatchErr: // the endpoint has closed the connection or sent something
+		return false
+	case <-ctx.Done():
+		return false
+	case <-rested.C:
+	}
+	// This interrupts the read of the idle watch. If the endpoint had closed the connection or sent anything, the read would
+	// have ended with another error, and a request would be answered by a reset.
+	k.SetReadDeadline(pastDeadline)
+	err := <-k.idleWatchErr
+	return errors.Is(err, os.ErrDeadlineExceeded) && k.isQuiet() && k.SetReadDeadline(time.Time{}) == nil
+}
+
+// closeNewestIdle closes the most recently used idle connection to an endpoint.
+func (p *pool) closeNewestIdle(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if newest := len(p.idle[id]) - 1; newest >= 0 {
+		p.idle[id][newest].Close()
+		p.removeIdle(id, newest)
+	}
 }
 
 // isQuiet reports whether an idle connection is open and nothing has arrived on it. The interrupted read alone
