--- a/internal/node/handover_numbers_test.go
+++ b/internal/node/handover_numbers_test.go
@@ -211,3 +211,27 @@
 		t.Errorf("the outcome ended this process's attempt: %+v", events)
 	}
 }
+
+// The successor finds the journal damaged, so it ends every message as failed. The module, which comes with the handover, does
+// not go on with any of them. It guards against attempts after the final answer, and against calls that never end for the
+// module because the journal has forgotten their messages.
+func TestDamagedJournalEndsHandedOverMessages(t *testing.T) {
+	partner := newFakeEndpoint(t, neverAnswer)
+	n := newIdleNode(t, memberJSON("e", partner.addr(), 7, "SERVING"))
+	n.handleBatch(t.Context(), []any{newArrival("message", 50*time.Second)})
+	partner.nextRequest(t)
+	id := n.messages["message"].choiceID()
+	n.journal.failAllLive() // as replay does at a damaged record
+	n.predecessor = new(handoverConn)
+	n.step(t.Context(), n.replayJournal(), nil)
+	if n.sender.HasMessage(id) {
+		t.Error("the module goes on with a message that has ended")
+	}
+	if len(n.owedNotices) != 1 {
+		t.Errorf("%d notices are owed, want 1", len(n.owedNotices))
+	}
+	for _, out := range n.outstanding {
+		out.cancel()
+	}
+	n.calls.Wait()
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -406,6 +406,9 @@
 		n.messages[m.id] = m
 		if m.final != nil {
 			n.owedNotices = append(n.owedNotices, newNotice(m))
+			if n.sender.HasMessage(m.choiceID()) { // handed over, and ended here because the journal is damaged
+				events = append(events, choice.MessageAbandoned{ID: m.choiceID()})
+			}
 			continue
 		}
 		n.openMessages++
