Tests: nobody opens an address that was given back

directory.ServeListener takes a listener, which the tests of hollow nodes open once and pass on. Programs that open their own listeners get addresses from internal/loopback, below the range that the system gives away, each once in a process: tests of cmd/coralyard and internal/directory, the size trial, real nodes of scale runs. Six copies of the same search go.

--- a/cmd/coralyard/main_test.go
+++ b/cmd/coralyard/main_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"starlingusher/internal/lab/syscallfault"
+	"starlingusher/internal/loopback"
 )
 
 const testTimeout = 30 * time.Second // for what must happen; no test asserts speed
@@ -190,15 +191,14 @@
 	return cmd
 }
 
-// freeAddr returns an address that was free a moment ago.
+// freeAddr returns an address for a process that opens its own listener.
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := loopback.FreeAddr()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer ln.Close()
-	return ln.Addr().String()
+	return address
 }
 
 func awaitReady(t *testing.T, admin string) {
--- a/cmd/coralyard/ownership_test.go
+++ b/cmd/coralyard/ownership_test.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -25,18 +24,11 @@
 	"starlingusher/internal/directory"
 )
 
-// freeAddrs returns n free addresses. Their ports are below the range from which outgoing connections get
-// theirs, so that none takes one of them before it is used.
+// freeAddrs returns n free addresses.
 func freeAddrs(t *testing.T, n int) (addrs []string) {
 	t.Helper()
-	for tries := 0; len(addrs) < n; tries++ {
-		ln, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", 20000+rand.IntN(12000)))
-		if err == nil {
-			defer ln.Close()
-			addrs = append(addrs, ln.Addr().String())
-		} else if tries > 1000 {
-			t.Fatal(err)
-		}
+	for range n {
+		addrs = append(addrs, freeAddr(t))
 	}
 	return addrs
 }
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -25,6 +25,7 @@
 	"go.uber.org/goleak"
 
 	"starlingusher/fleet/catalog"
+	"starlingusher/internal/loopback"
 )
 
 func TestMain(m *testing.M) {
@@ -43,12 +44,11 @@
 }
 
 func freeAddress(t *testing.T) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := loopback.FreeAddr()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer ln.Close()
-	return ln.Addr().String()
+	return address
 }
 
 // testReplica is a replica that can be stopped and started again.
--- a/internal/directory/server.go
+++ b/internal/directory/server.go
@@ -61,6 +61,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("http: %w", err)
 	}
+	return ServeListener(r, ln)
+}
+
+// ServeListener is Serve on a listener at the replica's address, which the server then owns.
+func ServeListener(r *Replica, ln net.Listener) (*Server, error) {
+	var err error
 	s := &Server{replica: r, admission: newAdmission(r.cfg.Requests.Rate, r.cfg.Requests.Burst)}
 	if s.notices, err = openNoticeSink(r); err != nil {
 		ln.Close()
--- a/internal/lab/scale/burden/real.go
+++ b/internal/lab/scale/burden/real.go
@@ -22,6 +22,7 @@
 	"starlingusher/fleet/catalog"
 	"starlingusher/internal/lab/proc"
 	"starlingusher/internal/lab/scale/play"
+	"starlingusher/internal/loopback"
 )
 
 const (
@@ -206,14 +207,10 @@
 
 // newRealNode makes the folder of a node. It does not start the process.
 func newRealNode(s play.Spec, env *environment, log *slog.Logger) (*realNode, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0") // find a free address
+	addr, err := loopback.FreeAddr()
 	if err != nil {
 		return nil, fmt.Errorf("the node's address: %w", err)
 	}
-	addr := ln.Addr().String()
-	if err := ln.Close(); err != nil {
-		return nil, err
-	}
 	for _, d := range []string{"state", "tmp"} {
 		if err := os.MkdirAll(filepath.Join(s.Dir, d), 0o700); err != nil {
 			return nil, fmt.Errorf("the node's folder: %w", err)
--- a/internal/lab/scale/hollow/hollow_test.go
+++ b/internal/lab/scale/hollow/hollow_test.go
@@ -92,27 +92,20 @@
 
 var discardLog = slog.New(slog.DiscardHandler)
 
-// freeAddr returns an address that nobody listens on.
-func freeAddr(t *testing.T) string {
+// newReplica starts a real replica of the directory in this process.
+func newReplica(t *testing.T) (address string, op *directory.AdminClient) {
 	t.Helper()
+	cfg := directory.Defaults()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer ln.Close()
-	return ln.Addr().String()
-}
-
-// newReplica starts a real replica of the directory in this process.
-func newReplica(t *testing.T) (address string, op *directory.AdminClient) {
-	t.Helper()
-	cfg := directory.Defaults()
-	cfg.HTTP, cfg.Data = freeAddr(t), t.TempDir()
+	cfg.HTTP, cfg.Data = ln.Addr().String(), t.TempDir()
 	r, err := directory.Open(cfg, discardLog)
 	if err != nil {
-		t.Fatal(err)
+		t.Fatal(errors.Join(err, ln.Close()))
 	}
-	s, err := directory.Serve(r)
+	s, err := directory.ServeListener(r, ln)
 	if err != nil {
 		t.Fatal(errors.Join(err, r.Close()))
 	}
--- a/internal/lab/trial/size.go
+++ b/internal/lab/trial/size.go
@@ -29,6 +29,7 @@
 	"starlingusher/internal/lab/proc"
 	"starlingusher/internal/lab/replica"
 	"starlingusher/internal/lab/standin"
+	"starlingusher/internal/loopback"
 	"starlingusher/internal/registry"
 )
 
@@ -98,15 +99,6 @@
 	return measurements, nil
 }
 
-func freeAddress() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
-}
-
 // stampedEndpoint returns the endpoint of a number. Its start time carries the time of the change's request
 // in microseconds.
 func stampedEndpoint(n int, stamp int64) catalog.Endpoint {
@@ -181,7 +173,7 @@
 }
 
 func (s *Measurements) measurePropagation(ctx context.Context, options SizeOptions, supervisor *proc.Supervisor, method string) error {
-	addr, err := freeAddress()
+	addr, err := loopback.FreeAddr()
 	if err != nil {
 		return err
 	}
