Lab test: TestCutResetsQueuedConnection waits until the accept loop has seen the cut

The test set a deadline in the past and took it that nothing is accepted any more, while the accept loop could be past its look at the deadline: then the connection is accepted, not queued. The test waits now until the loop has seen that connections are held; what it checks is the same.

--- a/internal/lab/relay/relay.go
+++ b/internal/lab/relay/relay.go
@@ -58,6 +58,7 @@
 	mu          sync.Mutex
 	listener    *net.TCPListener // nil while connections are refused
 	held        bool             // new connections are neither accepted nor refused
+	acceptHeld  bool             // the accept loop has seen that
 	conditions  Conditions
 	changed     chan struct{} // closed at each change of the conditions
 	connections map[*Connection]bool
@@ -130,9 +131,11 @@
 	}
 }
 
+// isHeld reports to the accept loop whether it has to wait, and until when.
 func (l *Link) isHeld() (<-chan struct{}, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.acceptHeld = l.held
 	return l.changed, l.held
 }
 
--- a/internal/lab/relay/relay_test.go
+++ b/internal/lab/relay/relay_test.go
@@ -157,6 +157,11 @@
 	l.held = true
 	l.conditions = Conditions{CutOutbound: true}
 	l.mu.Unlock()
+	for waiting := false; !waiting; time.Sleep(time.Millisecond) { // the accept loop may be past its look at the deadline
+		l.mu.Lock()
+		waiting = l.acceptHeld
+		l.mu.Unlock()
+	}
 	nc := dial(t, l.Addr())
 	io.WriteString(nc, "written in the cut\n")
 	l.SetConditions(Conditions{})
