Lab: an answer that a client has read counts as delivered, however busy the lab is

TestNoViolations failed beside load ("accepted and never had a final answer"): its sender had read a 200 that the lab's observer recorded as abandoned. The product has no part in it.

Cause, two crossings in internal/lab/relay. OnDelivered said "not delivered" on a connection that had ended, although the client had read all and closed before the server's goroutine asked. And the end of a connection told waiting servers "not delivered" while another goroutine stood between the write to the client and its record. A client that closes its connection after each answer, as the test's sender does, meets both when a goroutine of the lab is held up for a link's delay.

Change: what was sent is remembered with its time and asked for first; the end of a connection waits for a send under way.

Verdicts that this could touch: an answer taken for abandoned hides a delivery, so a message sent after its 200 (over) and a call in a told wait (wait) could be overlooked, and one-end be seen where there is none. Only a connection that its client closes right behind an answer is concerned; nodes keep theirs open.

--- a/internal/lab/relay/relay.go
+++ b/internal/lab/relay/relay.go
@@ -35,7 +35,9 @@
 	maxChunksInFlight = 64 // in flight in one direction of a connection
 	acceptQueue       = 1024
 
-	tcpStateClose = 7                    // state TCP_CLOSE of the kernel
+	tcpStateClose = 7                      // state TCP_CLOSE of the kernel
+	maxSendWait   = 100 * time.Millisecond // what a client that does not read may hold up the end of its connection
+	sendPoll      = time.Millisecond
 	closeSlack    = 5 * time.Millisecond // a reset this soon after an answer was written counts as sent before the answer arrived
 
 	fillerTimeout = 30 * time.Millisecond // of a dial that the full queue leaves without an answer
@@ -276,6 +278,7 @@
 	cutReturnDraw float64 // drawn once; the return direction is cut if it is below CutReturnShare
 	closed        chan struct{}
 	once          sync.Once
+	sending       sync.Mutex // held from before data is sent to the client until it is known whether that was delivered
 
 	mu               sync.Mutex
 	awaitingRequest  bool      // nothing has arrived from the client since data was last sent to it
@@ -284,6 +287,8 @@
 	clientResetAt    time.Time // when the client closed the connection with unread data
 	written          int64     // bytes that the server has written
 	sent             int64     // how many of these were sent to the client
+	sentAt           time.Time // when the last of these were
+	lostAt           time.Time // when the client had closed the connection before data was sent to it; zero if it had not
 	waiters          []deliveryWaiter
 }
 
@@ -335,11 +340,14 @@
 	c.end(false)
 }
 
-// end closes both sides. With reset, the client sees a reset.
+// end closes both sides. With reset, the client sees a reset. Without it, data that is just being sent is recorded first:
+// the client may have read it and closed its side already.
 func (c *Connection) end(reset bool) {
 	c.once.Do(func() {
 		if reset {
 			c.client.SetLinger(0)
+		} else {
+			c.awaitSend()
 		}
 		close(c.closed)
 		c.client.Close()
@@ -360,6 +368,16 @@
 	})
 }
 
+// awaitSend waits until no data is being sent to the client, or until that has taken maxSendWait.
+func (c *Connection) awaitSend() {
+	for end := time.Now().Add(maxSendWait); time.Now().Before(end); time.Sleep(sendPoll) {
+		if c.sending.TryLock() {
+			c.sending.Unlock()
+			return
+		}
+	}
+}
+
 // Reset resets the connection for the client.
 func (c *Connection) Reset() { c.end(true) }
 
@@ -382,6 +400,19 @@
 // connection has ended before that.
 func (c *Connection) OnDelivered(done func(at time.Time, delivered bool)) {
 	c.mu.Lock()
+	if c.sent >= c.written { // also if the client has read it all and ended the connection since
+		waiting, at, lostAt := deliveryWaiter{c.written, done}, c.sentAt, c.lostAt
+		c.mu.Unlock()
+		if at.IsZero() {
+			at = time.Now() // nothing was written
+		}
+		if !lostAt.IsZero() {
+			done(lostAt, false)
+			return
+		}
+		c.settle(waiting, at)
+		return
+	}
 	select {
 	case <-c.closed:
 		at := c.clientClosedAt
@@ -393,11 +424,6 @@
 		return
 	default:
 	}
-	if c.sent >= c.written {
-		c.mu.Unlock()
-		done(time.Now(), true)
-		return
-	}
 	c.waiters = append(c.waiters, deliveryWaiter{c.written, done})
 	c.mu.Unlock()
 }
@@ -475,7 +501,9 @@
 	c.mu.Lock()
 	if !delivered {
 		now = c.clientClosedAt
+		c.lostAt = now
 	}
+	c.sentAt = now
 	c.sent += int64(n)
 	var due []deliveryWaiter
 	for len(c.waiters) > 0 && c.waiters[0].upTo <= c.sent {
@@ -599,15 +627,25 @@
 		if next.end {
 			return
 		}
-		open := true
-		if onSent != nil {
-			open = c.prepareSend()
-		}
-		if _, err := to.Write(next.data); err != nil {
+		if onSent == nil {
+			_, err := to.Write(next.data)
+			if err != nil {
+				return
+			}
+		} else if !c.send(to, next.data, onSent) {
 			return
 		}
-		if onSent != nil {
-			onSent(len(next.data), open && !c.closedBeforeDelivery())
-		}
 	}
 }
+
+// send writes data to the client and tells onSent whether it was delivered. It returns false if it can't be written.
+func (c *Connection) send(to io.Writer, data []byte, onSent func(n int, delivered bool)) bool {
+	c.sending.Lock()
+	defer c.sending.Unlock()
+	open := c.prepareSend()
+	if _, err := to.Write(data); err != nil {
+		return false
+	}
+	onSent(len(data), open && !c.closedBeforeDelivery())
+	return true
+}
--- a/internal/lab/relay/relay_test.go
+++ b/internal/lab/relay/relay_test.go
@@ -346,6 +346,65 @@
 	}
 }
 
+// An answer that the client has read counts as delivered also if the client has closed the connection before the server asks.
+// It guards against answers that a busy lab takes for lost.
+func TestDeliveryIsKnownAfterTheEnd(t *testing.T) {
+	outcome := make(chan bool, 1)
+	ended := make(chan struct{})
+	l, err := Listen("127.0.0.1:0", 1, func(_ context.Context, p *Connection) (net.Conn, error) {
+		here, there := p.Pipe()
+		go func() {
+			if _, err := bufio.NewReader(there).ReadString('\n'); err != nil {
+				return
+			}
+			io.WriteString(there, "answer\n")
+			<-p.closed
+			close(ended)
+			p.OnDelivered(func(_ time.Time, delivered bool) { outcome <- delivered })
+		}()
+		return here, nil
+	}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	nc := dial(t, l.Addr())
+	io.WriteString(nc, "call\n")
+	expectLine(t, nc, "answer")
+	nc.Close()
+	<-ended
+	if !<-outcome {
+		t.Error("an answer that the client has read counts as lost")
+	}
+}
+
+// The client may read an answer and close the connection while the link still records that it was sent. The end of the
+// connection waits for that.
+func TestEndWaitsForASend(t *testing.T) {
+	link := newLink(t, startEcho(t))
+	client, err := net.Dial("tcp", link.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	c := &Connection{link: link, client: client.(*net.TCPConn), closed: make(chan struct{}), written: 1}
+	outcome := make(chan bool, 1)
+	c.OnDelivered(func(_ time.Time, delivered bool) { outcome <- delivered })
+	c.sending.Lock()
+	end := make(chan struct{})
+	go func() {
+		c.end(false)
+		close(end)
+	}()
+	time.Sleep(20 * time.Millisecond) // less than maxSendWait
+	c.recordSent(1, true)
+	c.sending.Unlock()
+	<-end
+	if !<-outcome {
+		t.Error("an answer that was sent counts as lost")
+	}
+}
+
 // Each call on a connection has a start time of its own, and the arrival of its answer is observed.
 func TestCallTimes(t *testing.T) {
 	reached := make(chan time.Time, 1)
