Directory: text that no replica can decode is refused, and a log that holds it is read on

Callers saw the whole directory gone after one request: PUT /records/caf%E9 ends all replicas, and again at each start.

Cause: a name that is not UTF-8 was encoded as text and replicated; no replica can decode that, and decodeWithChecksum had one error for it and for damage, so each took its log for damaged.

Change: 400 for a path or query that is not UTF-8; a command that does not decode again is not proposed; an intact entry that can't be decoded is skipped by every replica, and said. Damage ends a replica as before.

--- a/internal/directory/code.go
+++ b/internal/directory/code.go
@@ -22,7 +22,12 @@
 	maxCommandBytes     = 64 << 20 // bytes of an encoded command
 )
 
-var errDamaged = errors.New("damaged")
+var (
+	// errDamaged means that data is not what was written.
+	errDamaged = errors.New("damaged")
+	// errUndecodable means that data is as it was written and still can't be decoded.
+	errUndecodable = errors.New("can't be decoded")
+)
 
 // decodeMode bounds the size and depth of the data that is decoded, and rejects duplicate keys.
 var decodeMode = func() cbor.DecMode {
@@ -41,13 +46,19 @@
 	if err != nil {
 		return nil, err
 	}
+	return withChecksum(mark, body), nil
+}
+
+// withChecksum puts the mark and the checksum before encoded data.
+func withChecksum(mark string, body []byte) []byte {
 	out := make([]byte, 0, checksumHeaderBytes+len(body))
 	out = append(out, mark...)
 	out = binary.BigEndian.AppendUint64(out, xxhash.Sum64(body))
-	return append(out, body...), nil
+	return append(out, body...)
 }
 
-// decodeWithChecksum decodes what encodeWithChecksum has encoded with the same mark. All errors are errDamaged.
+// decodeWithChecksum decodes what encodeWithChecksum has encoded with the same mark. All errors are errDamaged or
+// errUndecodable.
 func decodeWithChecksum(mark string, raw []byte, v any) error {
 	if len(raw) < checksumHeaderBytes || string(raw[:4]) != mark {
 		return fmt.Errorf("%w: the data does not begin with the mark of its type", errDamaged)
@@ -57,11 +68,26 @@
 		return fmt.Errorf("%w: checksum mismatch", errDamaged)
 	}
 	if err := decodeMode.Unmarshal(body, v); err != nil {
-		return fmt.Errorf("%w: %w", errDamaged, err)
+		return fmt.Errorf("%w: %w", errUndecodable, err)
 	}
 	return nil
 }
 
+// encodeCommand encodes a command for the log. A command that the replicas could not decode is invalid.
+func encodeCommand(c catalog.Command) ([]byte, error) {
+	raw, err := encodeWithChecksum(commandMark, c)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrRefused, err)
+	}
+	if len(raw) > maxCommandBytes {
+		return nil, fmt.Errorf("%w: the command has %d bytes, the limit is %d", ErrRefused, len(raw), maxCommandBytes)
+	}
+	if err := decodeWithChecksum(commandMark, raw, new(catalog.Command)); err != nil {
+		return nil, fmt.Errorf("%w: %w", catalog.ErrInvalid, err)
+	}
+	return raw, nil
+}
+
 // EncodeBackup encodes an image for a backup or a snapshot.
 func EncodeBackup(image catalog.Image) ([]byte, error) { return encodeWithChecksum(backupMark, image) }
 
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -643,11 +643,11 @@
 	})
 }
 
-// FuzzRequests sends arbitrary bodies and queries to the handlers of a replica.
-func FuzzRequests(f *testing.F) {
-	dir := f.TempDir()
+// startFuzzedReplica starts one replica, which leads.
+func startFuzzedReplica(f *testing.F) (*Replica, *Server) {
+	f.Helper()
 	c := Defaults()
-	c.HTTP, c.Data = "127.0.0.1:0", dir
+	c.HTTP, c.Data = "127.0.0.1:0", f.TempDir()
 	r, err := Open(c, slog.New(slog.DiscardHandler))
 	if err != nil {
 		f.Fatal(err)
@@ -660,6 +660,12 @@
 	for !r.isReadyLeader() {
 		time.Sleep(time.Millisecond)
 	}
+	return r, s
+}
+
+// FuzzRequests sends arbitrary bodies and queries to the handlers of a replica.
+func FuzzRequests(f *testing.F) {
+	_, s := startFuzzedReplica(f)
 	paths := []string{
 		"GET /registry/instances?", "PUT /registry/instances?", "POST /registry/instances?", "PUT /registry/instances/a?", "POST /reports?",
 		"PUT /registry/registrations/a?", "POST /registry/renewals?", "PUT /records/a?", "POST /records/a?", "POST /directory/restore?",
--- a/internal/directory/lead.go
+++ b/internal/directory/lead.go
@@ -99,19 +99,19 @@
 }
 
 // propose replicates a command and applies it. Only the leader can; an error is ErrRefused or ErrAmbiguous.
-// The error of a command that was replicated but not applied is in the result.
+// The error of a command that was replicated but not applied is in the result, as is that of one which can't be replicated.
 func (r *Replica) propose(c catalog.Command) (catalog.Result, error) {
 	node := r.raftNode()
 	if node == nil {
 		return catalog.Result{}, fmt.Errorf("%w: this replica has not started Raft yet", ErrRefused)
 	}
 	c.At = time.Now().UnixMilli()
-	raw, err := encodeWithChecksum(commandMark, c)
-	if err != nil {
-		return catalog.Result{}, fmt.Errorf("%w: %w", ErrRefused, err)
+	raw, err := encodeCommand(c)
+	if errors.Is(err, catalog.ErrInvalid) {
+		return catalog.Result{Err: err}, nil // as if it had been replicated and rejected
 	}
-	if len(raw) > maxCommandBytes {
-		return catalog.Result{}, fmt.Errorf("%w: the command has %d bytes, the limit is %d", ErrRefused, len(raw), maxCommandBytes)
+	if err != nil {
+		return catalog.Result{}, err
 	}
 	if r.unwritable.Load() {
 		return catalog.Result{}, fmt.Errorf("%w: the leader can't write to its folder", ErrRefused)
--- a/internal/directory/ledger.go
+++ b/internal/directory/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"sync"
@@ -28,6 +29,7 @@
 type fsm struct {
 	maxLineBytes int64 // limit on kept lines
 	fail         func(error)
+	skipped      func(error) // told of each command that can't be decoded
 
 	mu         sync.RWMutex
 	state      *catalog.State
@@ -39,15 +41,19 @@
 	mapStatus  mapStatus
 }
 
-func newFSM(maxLineBytes int64, fail func(error)) *fsm {
-	return &fsm{maxLineBytes: maxLineBytes, fail: fail, state: catalog.New(), changed: make(chan struct{}), deltas: map[int64][]byte{}}
+func newFSM(maxLineBytes int64, fail, skipped func(error)) *fsm {
+	return &fsm{maxLineBytes: maxLineBytes, fail: fail, skipped: skipped, state: catalog.New(), changed: make(chan struct{}), deltas: map[int64][]byte{}}
 }
 
-// Apply applies a log entry.
+// Apply applies a log entry. An entry that is intact and can't be decoded changes nothing, at this replica as at every other.
 func (f *fsm) Apply(entry *raft.Log) any {
 	var c catalog.Command
 	if err := decodeWithChecksum(commandMark, entry.Data, &c); err != nil {
 		err = fmt.Errorf("log entry %d: %w", entry.Index, err)
+		if errors.Is(err, errUndecodable) {
+			f.skipped(err)
+			return catalog.Result{Err: fmt.Errorf("%w: %w", catalog.ErrInvalid, err)}
+		}
 		f.fail(err) // this replica can't continue; other replicas read their own logs
 		return catalog.Result{Err: err}
 	}
--- a/internal/directory/parts_test.go
+++ b/internal/directory/parts_test.go
@@ -598,7 +598,7 @@
 }
 
 func newBootstrappedFSM(t testing.TB) *fsm {
-	f := newFSM(1<<20, func(err error) { t.Error(err) })
+	f := newFSM(1<<20, func(err error) { t.Error(err) }, func(err error) { t.Error(err) })
 	applyCommand(t, f, catalog.Command{At: 1, Bootstrap: &catalog.Bootstrap{}})
 	return f
 }
--- a/internal/directory/replica.go
+++ b/internal/directory/replica.go
@@ -86,7 +86,7 @@
 		DialContext:         (&net.Dialer{Timeout: peerTimeout}).DialContext,
 		MaxIdleConnsPerHost: 64, DisableCompression: true,
 	}}}
-	r.fsm = newFSM(int64(cfg.Watch.MaxLagKB)<<10, r.reportFailure)
+	r.fsm = newFSM(int64(cfg.Watch.MaxLagKB)<<10, r.reportFailure, func(err error) { log.Error("a command is skipped, by all replicas alike", "err", err) })
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	path := filepath.Join(cfg.Data, "log.db")
 	store, err := openLog(path)
--- a/internal/directory/server.go
+++ b/internal/directory/server.go
@@ -10,10 +10,12 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	"starlingusher/fleet/catalog"
 	"starlingusher/internal/sysretry"
@@ -101,7 +103,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
 	s.http = http.Server{
-		Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: 16 << 10,
+		Handler: rejectInvalidText(mux), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: 16 << 10,
 		BaseContext: func(net.Listener) context.Context { return ctx },
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			if t, ok := c.(*net.TCPConn); ok {
@@ -292,4 +294,16 @@
 	writeResult(w, res, err)
 }
 
+// rejectInvalidText refuses requests whose path or query holds text that is not UTF-8, which no command can carry.
+func rejectInvalidText(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		query, err := url.QueryUnescape(req.URL.RawQuery)
+		if !utf8.ValidString(req.URL.Path) || err == nil && !utf8.ValidString(query) {
+			writeError(w, http.StatusBadRequest, errors.New("the path or the query is not UTF-8"))
+			return
+		}
+		next.ServeHTTP(w, req)
+	})
+}
+
 func truncate(s string, n int) string { return s[:min(len(s), n)] }
