Directory: a drain is built by a current leader and rests on the revision that it was built from

Cause: a drain took the whole entry from this replica's own state, which may lack committed writes at a new leader, lags at a follower, and is overtaken by a write between the reading and the log; then it was written back based on any revision.

Change: the leader passes a barrier, builds the drain and bases it on the revision that it read; a conflict builds it anew.

--- /dev/null
+++ b/internal/directory/drains_test.go
@@ -0,0 +1,67 @@
+package directory
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+
+	"starlingusher/fleet/catalog"
+)
+
+// A drain changes the phase of its endpoint and nothing else, whatever is written at the same time. It guards against drains
+// that are built from an older state and write it back over an acknowledged write.
+func TestDrainKeepsConcurrentWrites(t *testing.T) {
+	const rounds = 150
+	o := startReplicas(t, 1, nil)[0]
+	eventually(t, "the leader", o.replica.isReadyLeader)
+	put(t, o, "*", endpoint("a", catalog.Serving), endpoint("b", catalog.Serving))
+	for round := range rounds {
+		moved := endpoint("a", catalog.Serving)
+		moved.Addr = fmt.Sprintf("10.0.1.%d:80", round)
+		var writes sync.WaitGroup
+		var putErr, drainErr error
+		writes.Go(func() { _, putErr = o.operator().Put(t.Context(), []catalog.Endpoint{moved}, false, true, "*") })
+		writes.Go(func() { _, drainErr = o.operator().Drain(t.Context(), "a") })
+		writes.Wait()
+		if err := errors.Join(putErr, drainErr); err != nil {
+			t.Fatal(err)
+		}
+		o.replica.fsm.view(func(s *catalog.State) {
+			if got, _ := s.Entry("a"); got.Addr != moved.Addr {
+				t.Fatalf("round %d: the endpoint is at %s, the acknowledged write has moved it to %s", round, got.Addr, moved.Addr)
+			}
+		})
+	}
+}
+
+// A drain that names a revision is refused if its endpoint has changed since, and one of an unknown endpoint is told so.
+func TestDrainRestsOnItsRevision(t *testing.T) {
+	o := startReplicas(t, 1, nil)[0]
+	eventually(t, "the leader", o.replica.isReadyLeader)
+	put(t, o, "*", endpoint("a", catalog.Serving), endpoint("b", catalog.Serving))
+	changed := endpoint("a", catalog.Serving)
+	changed.Size = 2
+	put(t, o, "*", changed)
+	for _, c := range []struct {
+		id, match string
+		want      int
+	}{{"a", "1", http.StatusPreconditionFailed}, {"b", "1", http.StatusOK}, {"a", "2", http.StatusOK}, {"missing", "*", http.StatusNotFound}, {"a", "", http.StatusPreconditionRequired}} {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+o.cfg.HTTP+"/registry/instances/"+c.id+"/drain?confirm=1", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if c.match != "" {
+			req.Header.Set("If-Match", c.match)
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		if resp.StatusCode != c.want {
+			t.Errorf("drain of %s at revision %q: %s, want %d", c.id, c.match, resp.Status, c.want)
+		}
+	}
+}
--- a/internal/directory/server.go
+++ b/internal/directory/server.go
@@ -82,7 +82,7 @@
 	mux.HandleFunc("PUT /registry/instances", s.serveWrite(parseFull))
 	mux.HandleFunc("PUT /registry/instances/{id}", s.serveWrite(parseEndpoint))
 	mux.HandleFunc("DELETE /registry/instances/{id}", s.serveWrite(parseDelete))
-	mux.HandleFunc("POST /registry/instances/{id}/drain", s.serveWrite(s.parseDrain))
+	mux.HandleFunc("POST /registry/instances/{id}/drain", s.serveDrain)
 	mux.HandleFunc("PUT /registry/registrations/{id}", s.serveWrite(parseRegistration))
 	mux.HandleFunc("POST /registry/renewals", s.serveRenewals)
 	mux.HandleFunc("POST /reports", s.serveNotices)
@@ -276,22 +276,34 @@
 		return
 	}
 	c, err := build()
-	if errors.Is(err, ErrRefused) {
-		writeRetryLater(w, time.Second, singleLine(err))
+	if err != nil {
+		writeBuildError(w, err)
 		return
 	}
-	if errors.Is(err, catalog.ErrFull) {
+	res, err := s.proposeFor(req, c, start)
+	writeResult(w, res, err)
+}
+
+// writeBuildError responds to a request that made no command.
+func writeBuildError(w http.ResponseWriter, err error) {
+	switch {
+	case errors.Is(err, ErrRefused):
+		writeRetryLater(w, time.Second, singleLine(err))
+	case errors.Is(err, catalog.ErrFull):
 		writeError(w, http.StatusInsufficientStorage, err)
-		return
-	}
-	if err != nil {
+	case errors.Is(err, catalog.ErrNotFound):
+		writeError(w, http.StatusNotFound, err)
+	default:
 		writeError(w, http.StatusBadRequest, err)
-		return
 	}
+}
+
+// proposeFor replicates the command of a request that began at start.
+func (s *Server) proposeFor(req *http.Request, c catalog.Command, start time.Time) (catalog.Result, error) {
 	c.By = strings.ToValidUTF8(truncate(req.Header.Get("Registry-By"), catalog.MaxNameBytes), "?")
 	res, err := s.replica.propose(c)
 	s.metrics.observeWrite(time.Since(start), errors.Join(err, res.Err))
-	writeResult(w, res, err)
+	return res, err
 }
 
 // rejectInvalidText refuses requests whose path or query holds text that is not UTF-8, which no command can carry.
--- a/internal/directory/writes.go
+++ b/internal/directory/writes.go
@@ -20,39 +20,16 @@
 // If-Match header.
 func (s *Server) serveWrite(parse writeParser) http.HandlerFunc {
 	return func(w http.ResponseWriter, req *http.Request) {
-		raw, ok := readBody(w, req, maxBodyBytes)
+		raw, base, ok := s.readWrite(w, req)
 		if !ok {
 			return
 		}
-		if s.replica.cfg.Source.Discovery != "" {
-			writeError(w, http.StatusConflict, errors.New("this directory copies the list of the platform's discovery; change it there"))
-			return
-		}
-		match := req.Header.Get("If-Match")
-		if match == "" && req.PathValue("id") != "" && strings.HasPrefix(req.URL.Path, "/registry/registrations/") {
-			match = "*" // a registration changes only its own endpoint, so it may be based on any revision
-		}
-		if match == "" {
-			writeError(w, http.StatusPreconditionRequired, errors.New(`the If-Match header is missing: base revision of the write, or "*"`))
-			return
-		}
-		base, err := parseIfMatch(match)
-		if err != nil {
-			writeError(w, http.StatusBadRequest, err)
-			return
-		}
 		write, err := parse(req, raw)
-		if errors.Is(err, catalog.ErrNotFound) {
-			writeError(w, http.StatusNotFound, err)
-			return
-		}
 		if err != nil {
 			writeError(w, http.StatusBadRequest, err)
 			return
 		}
-		write.Base, write.GuardShare, write.MaxEndpoints = base, s.replica.cfg.Guard.MaxRemovedShare, int64(s.replica.cfg.List.MaxEndpoints)
-		write.Confirmed = req.URL.Query().Get("confirm") == "1"
-		write.Reason = strings.ToValidUTF8(truncate(req.Header.Get("Registry-Why"), 1000), "?")
+		s.completeWrite(&write, req, base)
 		s.runCommand(w, req, raw, func() (c catalog.Command, err error) {
 			s.replica.fsm.view(func(st *catalog.State) { err = st.CheckCapacity(write) })
 			return catalog.Command{Write: &write}, err
@@ -63,6 +40,40 @@
 	}
 }
 
+// readWrite reads the body of a request that changes the list, and the revision that the change is based on. If the request
+// can't be served it responds and returns false.
+func (s *Server) readWrite(w http.ResponseWriter, req *http.Request) (raw []byte, base catalog.Base, ok bool) {
+	raw, ok = readBody(w, req, maxBodyBytes)
+	if !ok {
+		return nil, base, false
+	}
+	if s.replica.cfg.Source.Discovery != "" {
+		writeError(w, http.StatusConflict, errors.New("this directory copies the list of the platform's discovery; change it there"))
+		return nil, base, false
+	}
+	match := req.Header.Get("If-Match")
+	if match == "" && req.PathValue("id") != "" && strings.HasPrefix(req.URL.Path, "/registry/registrations/") {
+		match = "*" // a registration changes only its own endpoint, so it may be based on any revision
+	}
+	if match == "" {
+		writeError(w, http.StatusPreconditionRequired, errors.New(`the If-Match header is missing: base revision of the write, or "*"`))
+		return nil, base, false
+	}
+	base, err := parseIfMatch(match)
+	if err != nil {
+		writeError(w, http.StatusBadRequest, err)
+		return nil, base, false
+	}
+	return raw, base, true
+}
+
+// completeWrite sets what a write has from the request's headers and query and from this replica's settings.
+func (s *Server) completeWrite(write *catalog.Write, req *http.Request, base catalog.Base) {
+	write.Base, write.GuardShare, write.MaxEndpoints = base, s.replica.cfg.Guard.MaxRemovedShare, int64(s.replica.cfg.List.MaxEndpoints)
+	write.Confirmed = req.URL.Query().Get("confirm") == "1"
+	write.Reason = strings.ToValidUTF8(truncate(req.Header.Get("Registry-Why"), 1000), "?")
+}
+
 // parseIfMatch parses the If-Match header: "*" (any revision), REVISION (of the current history) or
 // HISTORY.REVISION, with or without quotes.
 func parseIfMatch(match string) (catalog.Base, error) {
@@ -150,21 +161,6 @@
 	return catalog.Write{Members: []catalog.Endpoint{endpoint}}, endpoint.Validate()
 }
 
-// parseDrain parses a write that sets the phase of an endpoint to Draining. The other fields are those that
-// this replica has listed.
-func (s *Server) parseDrain(req *http.Request, _ []byte) (catalog.Write, error) {
-	var endpoint catalog.Endpoint
-	s.replica.fsm.view(func(st *catalog.State) {
-		entry, _ := st.Entry(req.PathValue("id"))
-		endpoint = entry.Endpoint
-	})
-	if endpoint.ID == "" {
-		return catalog.Write{}, fmt.Errorf("endpoint %.40q is not listed at this replica: %w", req.PathValue("id"), catalog.ErrNotFound)
-	}
-	endpoint.Phase = catalog.Draining
-	return catalog.Write{Members: []catalog.Endpoint{endpoint}}, nil
-}
-
 // parseRegistration parses a write of a serving endpoint with a lease of ttl_ms milliseconds.
 func parseRegistration(req *http.Request, raw []byte) (catalog.Write, error) {
 	var reg struct {
