Directory: a restore keeps the leases as they stand, and gives no lease to two holders

Cause: State.restore took holder, token and time of every record from the backup.

Change: the leader builds the restore after a barrier, with operations on records kept out until the outcome, and puts the leases as they stand into the image. State.Apply and the log's form are unchanged.

--- a/internal/directory/admin.go
+++ b/internal/directory/admin.go
@@ -1,7 +1,6 @@
 package directory
 
 import (
-	"bytes"
 	"cmp"
 	"errors"
 	"fmt"
@@ -119,24 +118,6 @@
 	w.Write(raw)
 }
 
-func (s *Server) serveRestore(w http.ResponseWriter, req *http.Request) {
-	raw, ok := readBody(w, req, maxCommandBytes/2)
-	if !ok {
-		return
-	}
-	image, err := DecodeBackup(bytes.NewReader(raw))
-	if err != nil {
-		writeError(w, http.StatusBadRequest, err)
-		return
-	}
-	s.runCommand(w, req, raw, func() (catalog.Command, error) {
-		if n, limit := len(image.Entries), s.replica.cfg.List.MaxEndpoints; n > limit {
-			return catalog.Command{}, fmt.Errorf("%w: the backup has %d endpoints, the list is limited to %d", catalog.ErrFull, n, limit)
-		}
-		return catalog.Command{Restore: &image}, nil
-	})
-}
-
 func (s *Server) serveConfirm(w http.ResponseWriter, req *http.Request) {
 	n, err := parseNumber(req.PathValue("number"), 0)
 	if err != nil {
--- a/internal/directory/records.go
+++ b/internal/directory/records.go
@@ -57,6 +57,8 @@
 		s.mapWrites.Lock()
 		defer s.mapWrites.Unlock()
 	}
+	s.recordOps.RLock()
+	defer s.recordOps.RUnlock()
 	s.runCommand(w, req, raw, func() (catalog.Command, error) {
 		var request recordRequest
 		if err := decodeStrict(raw, &request); err != nil {
--- a/internal/directory/server.go
+++ b/internal/directory/server.go
@@ -52,7 +52,8 @@
 	metrics    *metrics
 	http       http.Server
 	watches    watchSet
-	mapWrites  sync.Mutex // held from the validation of a new ownership map until its outcome
+	mapWrites  sync.Mutex   // held from the validation of a new ownership map until its outcome
+	recordOps  sync.RWMutex // held for reading by operations on records, for writing by a restore, until their outcome
 	goroutines sync.WaitGroup
 	cancel     context.CancelFunc
 }
