Directory: an expiry does not follow a registration that it does not know of

By reading, from the review: an endpoint that registers again when its lease runs out is answered 200 and drained all the same.

Cause: the lease began after the answer (noteRegistration), while the leader could already have found it run out; the expiry then came behind the registration in the log, and State.expire sees an entry with a lease that is not expired.

Change: a registration holds Replica.expiryOrder from its proposal until its lease has begun, the leader from its look at the leases until the outcome of what it proposes.

--- a/internal/directory/drains_test.go
+++ b/internal/directory/drains_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sync"
 	"testing"
+	"time"
 
 	"starlingusher/fleet/catalog"
 )
@@ -65,3 +66,42 @@
 		}
 	}
 }
+
+// The expiry of a lease is not proposed behind a registration that is under way: its 200 may be on its way to the endpoint, and
+// the lease begins just after. It guards against an endpoint that registers, is answered 200 and is drained all the same.
+func TestExpiryWaitsForRegistrations(t *testing.T) {
+	const ttl = 200 * time.Millisecond
+	o := startReplicas(t, 1, func(c *Config) { c.Lease.MaxExpiredShare = 1 })[0]
+	eventually(t, "the leader", o.replica.isReadyLeader)
+	put(t, o, "*", endpoint("other", catalog.Serving))
+	register := func() {
+		t.Helper()
+		result, err := o.replica.propose(catalog.Command{Write: &catalog.Write{Base: catalog.Base{Any: true}, Members: []catalog.Endpoint{endpoint("a", catalog.Serving)}, TTL: ttl.Milliseconds()}})
+		if err = errors.Join(err, result.Err); err != nil {
+			t.Fatal(err)
+		}
+	}
+	phase := func() (phase string) {
+		o.replica.fsm.view(func(s *catalog.State) {
+			entry, _ := s.Entry("a")
+			phase = entry.Phase
+		})
+		return phase
+	}
+	register()
+	o.replica.noteRegistration("a")
+	time.Sleep(ttl / 2)
+	o.replica.expiryOrder.RLock() // a second registration is under way: replicated, and its lease has not begun
+	register()
+	time.Sleep(ttl + 2*pollInterval) // the first lease has run out, and the leader looks at the leases
+	if got := phase(); got != catalog.Serving {
+		t.Errorf("while the registration is under way its endpoint is %s", got)
+	}
+	o.replica.noteRegistration("a")
+	o.replica.expiryOrder.RUnlock()
+	time.Sleep(ttl / 2)
+	if got := phase(); got != catalog.Serving {
+		t.Errorf("after its registration the endpoint is %s", got)
+	}
+	eventually(t, "the end of a lease that nobody renews", func() bool { return phase() == catalog.Draining })
+}
--- a/internal/directory/lead.go
+++ b/internal/directory/lead.go
@@ -72,17 +72,8 @@
 		source.Go(func() { r.followSource(ctx) })
 	}
 	for {
-		var due []catalog.Command
-		wait := time.Hour
 		_, changed := r.fsm.position()
-		r.mu.Lock()
-		r.fsm.view(func(s *catalog.State) { due, wait = r.leases.DueCommands(s, time.Since(since)) })
-		r.mu.Unlock()
-		for _, c := range due {
-			if res, err := r.propose(c); err != nil || res.Err != nil {
-				r.log.Warn("due command failed", "err", errors.Join(err, res.Err))
-			}
-		}
+		wait := r.proposeDue(since)
 		timer := time.NewTimer(max(wait, pollInterval))
 		select {
 		case <-ctx.Done():
@@ -98,6 +89,22 @@
 	}
 }
 
+// proposeDue proposes the commands that are due, and returns how long to wait before the next look.
+func (r *Replica) proposeDue(since time.Time) (wait time.Duration) {
+	r.expiryOrder.Lock()
+	defer r.expiryOrder.Unlock()
+	var due []catalog.Command
+	r.mu.Lock()
+	r.fsm.view(func(s *catalog.State) { due, wait = r.leases.DueCommands(s, time.Since(since)) })
+	r.mu.Unlock()
+	for _, c := range due {
+		if res, err := r.propose(c); err != nil || res.Err != nil {
+			r.log.Warn("due command failed", "err", errors.Join(err, res.Err))
+		}
+	}
+	return wait
+}
+
 // propose replicates a command and applies it. Only the leader can; an error is ErrRefused or ErrAmbiguous.
 // The error of a command that was replicated but not applied is in the result, as is that of one which can't be replicated.
 func (r *Replica) propose(c catalog.Command) (catalog.Result, error) {
--- a/internal/directory/replica.go
+++ b/internal/directory/replica.go
@@ -60,6 +60,11 @@
 	unwritable atomic.Bool // the data folder can't be written
 	failed     chan error  // holds the first error that the replica can't recover from
 
+	// expiryOrder is held for reading by a registration from its proposal until its lease has begun, and for writing by the
+	// leader from its look at the leases until the outcome of what it proposes: no expiry follows a registration in the log
+	// that it does not know of.
+	expiryOrder sync.RWMutex
+
 	mu          sync.Mutex // guards the fields below
 	raft        *raft.Raft // nil until the replica has joined or bootstrapped the service
 	store       *raftboltdb.BoltStore
--- a/internal/directory/writes.go
+++ b/internal/directory/writes.go
@@ -30,6 +30,10 @@
 			return
 		}
 		s.completeWrite(&write, req, base)
+		if write.TTL > 0 {
+			s.replica.expiryOrder.RLock()
+			defer s.replica.expiryOrder.RUnlock()
+		}
 		s.runCommand(w, req, raw, func() (c catalog.Command, err error) {
 			s.replica.fsm.view(func(st *catalog.State) { err = st.CheckCapacity(write) })
 			return catalog.Command{Write: &write}, err
