Node: a process takes its node back with the configuration, list and waits that are in force

Cause: main read the configuration once and began each life of the node with it.

Change: the configuration is read again at a take-back; Node.TakeBackConfig hands on the list without what the successor has closed, and told waits, of which the module learns by the new event WaitTold.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -138,6 +138,10 @@
 			s.updateList(e)
 		case EndpointDisabled:
 			s.setDisabled(e)
+		case WaitTold:
+			if ep := s.endpoints[e.Endpoint]; ep != nil {
+				ep.route.waitUntil = max(ep.route.waitUntil, e.Until)
+			}
 		}
 	}
 	for _, e := range events {
--- a/choice/types.go
+++ b/choice/types.go
@@ -123,7 +123,7 @@
 	Weight     float64
 }
 
-// Event is an input of a Sender: ListUpdate, EndpointDisabled, MessageArrived, MessageResumed, AttemptEnded,
+// Event is an input of a Sender: ListUpdate, EndpointDisabled, WaitTold, MessageArrived, MessageResumed, AttemptEnded,
 // MessageAbandoned, ProbeEnded, WakeDue or Stopping.
 type Event interface{ event() }
 
@@ -141,6 +141,12 @@
 	Lifted   bool
 }
 
+// WaitTold says that an endpoint has asked for a wait before this sender began.
+type WaitTold struct {
+	Endpoint string
+	Until    time.Duration
+}
+
 // MessageArrived is a new message.
 type MessageArrived struct {
 	ID                  string
@@ -197,6 +203,7 @@
 func (Stopping) event()         {}
 func (ListUpdate) event()       {}
 func (EndpointDisabled) event() {}
+func (WaitTold) event()         {}
 func (MessageArrived) event()   {}
 func (MessageResumed) event()   {}
 func (AttemptEnded) event()     {}
--- a/cmd/coralyard/main.go
+++ b/cmd/coralyard/main.go
@@ -61,7 +61,7 @@
 	}
 	defer admin.Close()
 	for {
-		err := serve(ctx, cfg, log, hup, admin)
+		n, err := serve(ctx, cfg, log, hup, admin)
 		switch {
 		case ctx.Err() != nil && (errors.Is(err, ctx.Err()) || errors.Is(err, node.ErrSuccessorGone)):
 			return nil // told to end while it did not have the node
@@ -69,9 +69,20 @@
 			return err
 		}
 		log.Error("the successor is gone; taking the node back", "err", err)
+		cfg = n.TakeBackConfig(latestConfig(cfg, log))
 	}
 }
 
+// latestConfig reads the configuration again, since it may have been replaced. One that can't be read changes nothing.
+func latestConfig(current node.Config, log *slog.Logger) node.Config {
+	latest, err := load()
+	if err != nil {
+		log.Error("the configuration can't be read again; the old one stays", "err", err)
+		return current
+	}
+	return latest
+}
+
 // load reads the configuration. Environment variables take precedence over the file.
 func load() (node.Config, error) {
 	cfg, err := node.LoadConfig(os.Getenv("ROUTER_CONFIG"), os.Getenv("ROUTER_STATE"))
@@ -85,11 +96,12 @@
 	return cfg, err
 }
 
-// serve runs the node from when this process has it until it ends or is handed over.
-func serve(ctx context.Context, cfg node.Config, log *slog.Logger, hup <-chan os.Signal, admin *node.Admin) error {
+// serve runs the node from when this process has it until it ends or is handed over. The node is nil if this process never
+// had it.
+func serve(ctx context.Context, cfg node.Config, log *slog.Logger, hup <-chan os.Signal, admin *node.Admin) (*node.Node, error) {
 	n, ln, err := node.Start(ctx, cfg, log)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	admin.SetNode(n)
 	done := make(chan struct{})
@@ -97,7 +109,7 @@
 	reloads.Go(func() { reload(log, hup, done, n) })
 	defer reloads.Wait()
 	defer close(done)
-	return n.Run(ctx, ln)
+	return n, n.Run(ctx, ln)
 }
 
 // reload reads the configuration again at each SIGHUP, and moves the node to the discovery addresses in it.
--- a/cmd/coralyard/main_test.go
+++ b/cmd/coralyard/main_test.go
@@ -174,6 +174,43 @@
 	}
 }
 
+// When the new process of an upgrade dies, the old one takes the node back with the configuration that is in force, not with
+// the one from its start. It guards against notices that go to discovery's old address.
+func TestTakeBackFollowsDiscovery(t *testing.T) {
+	former, moved := newFakeDiscovery(t, http.StatusNoContent), newFakeDiscovery(t, http.StatusNoContent)
+	listen, config, state := freeAddr(t), filepath.Join(t.TempDir(), "config.json"), t.TempDir()
+	writeConfig(t, config, listen, former.addr())
+	firstAdmin, secondAdmin := freeAddr(t), freeAddr(t)
+	first := startChild(t, config, state, firstAdmin)
+	awaitReady(t, firstAdmin)
+	writeConfig(t, config, listen, moved.addr())
+	if err := first.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	await(t, "the watch at the new address", moved.watches)
+	second := startChild(t, config, state, secondAdmin)
+	awaitReady(t, secondAdmin)
+	second.Process.Kill()
+	second.Wait()
+	awaitReady(t, firstAdmin)
+	nc, err := net.Dial("tcp", listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	fmt.Fprint(nc, "*5\r\n$7\r\nENQUEUE\r\n$1\r\n0\r\n$1\r\na\r\n$23\r\nc=status,d=100,dest=007\r\n$0\r\n\r\n")
+	if line, err := bufio.NewReader(nc).ReadString('\n'); line != "+OK\r\n" {
+		t.Fatalf("got %q, %v", line, err)
+	}
+	select {
+	case <-moved.posts:
+	case notice := <-former.posts:
+		t.Errorf("the notice went to the former address: %q", notice)
+	case <-time.After(testTimeout):
+		t.Error("no notice has come")
+	}
+}
+
 // startChild starts the program as a process of a node, with further environment variables.
 func startChild(t *testing.T, config, state, admin string, env ...string) *exec.Cmd {
 	t.Helper()
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"os"
+	"time"
 
 	"starlingusher/choice"
 	"starlingusher/fleet/catalog"
@@ -35,6 +36,8 @@
 	StateDir string          `json:"-"` // the persistent folder
 	Settings choice.Settings `json:"-"`
 	Names    wire.Names      `json:"-"`
+
+	initialWaits map[string]time.Time // by endpoint ID: until when it gets no calls; see TakeBackConfig
 }
 
 // LoadConfig reads the configuration file of a node whose persistent folder is stateDir.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -399,6 +399,7 @@
 	if n.predecessor == nil { // else the module got the list from the predecessor
 		events = append(events, n.applyList(known))
 		events = append(events, n.restoreDisabled()...)
+		events = append(events, n.restoreWaits()...)
 	}
 	// In the order in which they were accepted.
 	for _, seq := range slices.Sorted(maps.Keys(n.journal.live)) {
