Node: the cached list goes over with the handover, and has one writer at a time

Cause: the successor read list.json before the predecessor had written its last change, and went on from the revision that was handed over; and the predecessor wrote once more when its watch ended, after it had given up the lock.

Change: the predecessor writes the list before it lets go of the lock and never again; the successor's cache begins with the list of the revision that it goes on from.

--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -85,8 +85,9 @@
 type listCache struct {
 	log *slog.Logger
 
-	mu    sync.Mutex
-	cache *registry.ListCache
+	mu     sync.Mutex
+	cache  *registry.ListCache
+	closed bool // the folder belongs to another process
 }
 
 // openListCache reads the cached list. It returns nil if no list is to be cached.
@@ -106,6 +107,39 @@
 	return &listCache{log: log, cache: cache}
 }
 
+// adopt replaces the list by that of the predecessor, from whose position this process goes on. What the file holds may be
+// older: it is written a while after a change.
+func (k *listCache) adopt(list registry.Update) {
+	if k == nil {
+		return
+	}
+	list.Complete = true
+	k.apply(list)
+}
+
+// close writes what is not written yet. From then on the file belongs to the successor.
+func (k *listCache) close() {
+	if k == nil {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if err := k.cache.Flush(); err != nil {
+		k.log.Warn("the list can't be cached", "err", err)
+	}
+	k.closed = true
+}
+
+// flush writes the file, unless it belongs to another process.
+func (k *listCache) flush() error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.closed {
+		return nil
+	}
+	return k.cache.Flush()
+}
+
 func (k *listCache) apply(n registry.Update) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -124,9 +158,7 @@
 	failing := false
 	for running := true; running; {
 		running = registry.Sleep(ctx, saveInterval)
-		k.mu.Lock()
-		err := k.cache.Flush()
-		k.mu.Unlock()
+		err := k.flush()
 		if err != nil && !failing {
 			k.log.Warn("the list can't be cached", "err", err)
 		}
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -1,11 +1,16 @@
 package node
 
 import (
+	"log/slog"
 	"net"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
+
+	"starlingusher/fleet/catalog"
+	"starlingusher/internal/registry"
 )
 
 // A node of a fleet follows whichever replica answers. When none does it continues with the last list, even
@@ -96,3 +101,58 @@
 		}
 	}
 }
+
+// readCachedList returns the list in a state folder.
+func readCachedList(t *testing.T, dir string) catalog.List {
+	t.Helper()
+	cache, err := registry.OpenListCache(dir, 1<<20)
+	if err != nil {
+		t.Fatal(err)
+	}
+	list, _, _, _ := cache.List()
+	return list
+}
+
+// After a handover the list in the folder is the successor's alone, and holds all that its position stands for. It guards
+// against a change that the file misses for good: one that the predecessor had not written when the successor read the file.
+func TestCachedListGoesOver(t *testing.T) {
+	member := func(id string) catalog.Endpoint {
+		return catalog.Endpoint{ID: id, Addr: "127.0.0.1:1", Locality: "z", Flavor: "m", Cell: 7, Phase: catalog.Serving, Size: 1}
+	}
+	update := func(revision int64, complete bool, members ...catalog.Endpoint) registry.Update {
+		return registry.Update{List: catalog.List{Revision: revision, Complete: complete, Members: members}, Server: "s:1"}
+	}
+	dir := t.TempDir()
+	cfg := Config{StateDir: dir}
+	cfg.Fleet.Registry.Addresses, cfg.Fleet.Registry.KeepKB = []string{"s:1"}, 64
+	log := slog.New(slog.DiscardHandler)
+	predecessor := openListCache(cfg, log)
+	predecessor.apply(update(1, true, member("a")))
+	predecessor.close()
+	successor := openListCache(cfg, log)
+	successor.adopt(update(2, false, member("a"), member("b"))) // the predecessor's loop had one more change
+	successor.apply(update(3, false, member("c")))
+	if err := successor.flush(); err != nil {
+		t.Fatal(err)
+	}
+	predecessor.apply(update(2, false, member("b"))) // its watch ends after the handover
+	if err := predecessor.flush(); err != nil {
+		t.Fatal(err)
+	}
+	if got := readCachedList(t, dir); got.Revision != 3 || len(got.Members) != 3 {
+		t.Errorf("the folder has %d endpoints at revision %d, want 3 at 3", len(got.Members), got.Revision)
+	}
+}
+
+// The process that takes over goes on from the predecessor's revision with the predecessor's list in its cache.
+func TestSuccessorStoresListOfItsRevision(t *testing.T) {
+	n := newConfiguredIdleNode(t, func(c *Config) { c.Fleet.Registry.Addresses, c.Fleet.Registry.KeepKB = []string{"s:1"}, 64 })
+	member := catalog.Endpoint{ID: "a", Addr: "127.0.0.1:1", Locality: "z", Flavor: "m", Cell: 7, Phase: catalog.Serving, Size: 1}
+	n.restore(nil, &handoverState{At: time.Now(), Revision: 5, ListSource: "s:1", Members: []catalog.Endpoint{member}}, n.sender)
+	if err := n.listCache.flush(); err != nil {
+		t.Fatal(err)
+	}
+	if got := readCachedList(t, n.cfg.StateDir); got.Revision != 5 || len(got.Members) != 1 {
+		t.Errorf("the folder has %d endpoints at revision %d, want 1 at 5", len(got.Members), got.Revision)
+	}
+}
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -475,6 +475,7 @@
 		n.cfg.InitialList.Revision, n.listPosition = 0, registry.Position{Server: n.cfg.Discovery}
 	}
 	n.applyList(n.cfg.InitialList) // the module has the list already
+	n.listCache.adopt(registry.Update{List: n.cfg.InitialList, History: n.listPosition.History, Server: n.listPosition.Server})
 	for id, waitUntil := range state.Waits {
 		if e := n.endpoints[id]; e != nil && waitUntil > 0 {
 			e.wait.extend(handedOverAt.Add(time.Unix(0, waitUntil).Sub(state.At)))
@@ -657,6 +658,7 @@
 	n.metrics.activeMessages.Store(0)
 	n.handoverListener.Close()
 	n.journal.file.Close()
+	n.listCache.close()
 	n.lock.Close() // from here on the other process decides
 	n.lock = nil
 	n.log.Info("handed over", "calls", len(n.outstanding))
