--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -398,20 +398,32 @@
 }
 
 // accept numbers a new message, queues its record and returns what is kept of it. It refuses a message that
-// the disk may have no room for. Twice the live state must fit, because during a compaction the old and the
-// new file both exist.
+// the disk may have no room for.
 func (j *journal) accept(m *pendingMessage) (*pendingMessage, error) {
 	if j.incomplete {
 		return nil, errJournalUnavailable
 	}
-	if 2*(j.liveSize+m.size())+int64(len(j.unwritten)) > j.budget {
-		return nil, errDiskBudget
+	if err := j.makeRoom(m.size()); err != nil {
+		return nil, err
 	}
 	m.seq = j.nextSeq
 	j.add(acceptedRecord(m))
 	return j.live[m.seq], nil
 }
 
+// makeRoom makes sure that the disk has room for a new message of that size. The old file and the live state must fit at any
+// time, because both exist during a compaction, and a compaction must help: so twice the live state must fit.
+func (j *journal) makeRoom(size int64) error {
+	live := j.liveSize + size
+	if 2*live+int64(len(j.unwritten)) > j.budget {
+		return errDiskBudget
+	}
+	if j.fileSize+live <= j.budget {
+		return nil
+	}
+	return j.compact()
+}
+
 // flush writes the queued records. After an error nothing that they guard may be done. The live state stays
 // correct all the same, and is written to a new file as soon as that is possible.
 func (j *journal) flush() error {
--- a/internal/node/journal_test.go
+++ b/internal/node/journal_test.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 )
@@ -358,3 +360,51 @@
 		}
 	}
 }
+
+// The folder keeps its budget also while a compaction has both files, whatever clumps of messages come at once. It guards
+// against a limit on disk that a compaction passes.
+func TestCompactionKeepsTheBudget(t *testing.T) {
+	const diskMB, clumps, clump = 3, 400, 10
+	random := rand.New(rand.NewPCG(1, 2))
+	j := openTestJournal(t, t.TempDir(), diskMB)
+	var live []*pendingMessage
+	peak, compactions, refused := int64(0), 0, 0
+	step := func(change func()) { // a compaction replaces the file
+		before, file := j.fileSize, j.file
+		change()
+		size := j.fileSize
+		if j.file != file {
+			compactions++
+			size += before
+		}
+		peak = max(peak, size)
+	}
+	for number := range clumps {
+		for i := range random.IntN(clump) + 1 {
+			step(func() {
+				m, err := j.accept(&pendingMessage{id: itoa(number*clump + i), class: 1, dest: 7, body: make([]byte, random.IntN(maxBody)), deadline: time.UnixMicro(1)})
+				if errors.Is(err, errDiskBudget) {
+					refused++
+					return
+				}
+				if err != nil {
+					t.Fatal(err)
+				}
+				live = append(live, m)
+			})
+		}
+		step(func() { mustFlush(t, j) })
+		for len(live) > 0 && random.IntN(5) > 0 {
+			i := random.IntN(len(live))
+			j.add(newRecord(recordDone, live[i].seq))
+			live = slices.Delete(live, i, i+1)
+		}
+		step(func() { mustFlush(t, j) })
+	}
+	if peak > diskMB<<20 {
+		t.Errorf("the files had %d bytes at most, %d are allowed", peak, diskMB<<20)
+	}
+	if compactions == 0 || refused == 0 {
+		t.Errorf("%d compactions, %d messages refused: the test has not come to the limit", compactions, refused)
+	}
+}
