Node test: TestDisableAndEnableEndpoint hands in a message when the one before has ended

The test handed in a message when the endpoint had got the one before, and took a repeat of a message from an earlier process ("resumed=3") for it, so it ran ahead by each repeat. Since connections rest after an answer more messages are open at a handover, and so more are repeated.

The test waits now until the node holds nothing before it begins and after each message; what it checks, that a disabled endpoint gets no call over a restart and a handover, is the same.

--- a/internal/node/admin_test.go
+++ b/internal/node/admin_test.go
@@ -257,18 +257,21 @@
 	number := 0
 	// deliver hands in messages one by one, at least 25, until the first endpoint has got a call if want is
 	// set.
-	deliver := func(addr string, wantCall bool) {
+	deliver := func(process *nodeProcess, wantCall bool) {
 		t.Helper()
+		idle := func() bool { return process.node.metrics.activeMessages.Load() == 0 }
+		eventually(t, "the end of what an earlier process held", idle)
 		before, _ := first.counts()
 		for i := 0; ; i++ {
 			number++
-			mustAnswer(t, addr, enqueueCommand("m"+itoa(number), statusFields, "x"), "+OK")
+			mustAnswer(t, process.addr, enqueueCommand("m"+itoa(number), statusFields, "x"), "+OK")
 			select {
 			case <-first.requests:
 			case <-second.requests:
 			case <-time.After(testTimeout):
 				t.Fatal("no endpoint got a call")
 			}
+			eventually(t, "the end of the message", idle) // the node takes on only a few at once
 			if now, _ := first.counts(); i >= 25 && (now > before || !wantCall) {
 				if now > before && !wantCall {
 					t.Errorf("%d calls to the disabled endpoint", now-before)
@@ -279,7 +282,7 @@
 	}
 	predecessor := startProcess(t, r, state, "", append(both, memberJSON("old", "127.0.0.1:9", 8, "SERVING"))...)
 	a.node.Store(predecessor.node)
-	deliver(predecessor.addr, true)
+	deliver(predecessor, true)
 	command("nobody", "disable", http.StatusNotFound)
 	command("nobody", "enable", http.StatusNotFound)
 	command("e2", "enable", http.StatusOK) // it was not disabled
@@ -291,10 +294,10 @@
 	if got := predecessor.node.metrics.avoidedEndpoints.Load(); got != 1 {
 		t.Errorf("%d listed endpoints are avoided, want 1", got)
 	}
-	deliver(predecessor.addr, false)
+	deliver(predecessor, false)
 
 	successor := startProcess(t, r, state, predecessor.addr, both...)
-	deliver(successor.addr, false)
+	deliver(successor, false)
 	command("old", "enable", http.StatusOK) // sent to the predecessor, carried out by the successor
 	command("nobody", "enable", http.StatusNotFound)
 	predecessor.cancel()
@@ -310,8 +313,8 @@
 	if got := restarted.node.metrics.avoidedEndpoints.Load(); got != 1 {
 		t.Errorf("after a restart %d endpoints are avoided, want 1", got)
 	}
-	deliver(restarted.addr, false)
+	deliver(restarted, false)
 	command("e1", "enable", http.StatusOK)
-	deliver(restarted.addr, true)
+	deliver(restarted, true)
 	command("old", "enable", http.StatusOK) // known, though it was last listed two processes ago
 }
