--- a/fleet/catalog/restore.go
+++ b/fleet/catalog/restore.go
@@ -8,8 +8,8 @@
 // restoredHolder is the holder of a record whose lease may stand in a history that this state does not know.
 const restoredHolder = "unknown-before-restore"
 
-// RestoreImage returns what a restore of a backup has to bring to this state: the backup's list and values, and no lease that
-// may be given out while another one stands. Who holds a record, by which token and for how long, is no matter of the backup
+// RestoreImage returns what a restore of a backup has to bring to this state: the backup's list and values, no number that
+// was given before, and no lease that may be given out while another one stands. Who holds a record, by which token and for how long, is no matter of the backup
 // where this state knows it. A record that this state has never had comes from a history that it has lost: one that nobody
 // held in the backup may be held since, so it is given out only after the longest lease that the backup knows.
 func (s *State) RestoreImage(backup Image) (Image, error) {
@@ -19,6 +19,7 @@
 		merged.Records = map[string]Record{}
 	}
 	merged.LastToken = max(backup.LastToken, s.image.LastToken)
+	merged.LastHeldNumber = max(backup.LastHeldNumber, s.image.LastHeldNumber)
 	longest := longestLease(backup.Records)
 	for name, record := range backup.Records {
 		current, known := s.image.Records[name]
--- a/fleet/catalog/restore_test.go
+++ b/fleet/catalog/restore_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 )
@@ -112,3 +114,28 @@
 		t.Errorf("after the wait: %+v", got)
 	}
 }
+
+// The number of a held write is not given again after a restore: an operator may be about to confirm the former one.
+func TestRestoreReusesNoHeldNumber(t *testing.T) {
+	s := bootstrapped(t, 4)
+	backup := s.Image()
+	hold := func(keep string) int64 {
+		return expectError(t, s, Command{Write: &Write{Base: Base{Any: true}, Replace: true, GuardShare: 0.5, Members: []Endpoint{endpoint(keep, 0)}}}, ErrHeld).Held
+	}
+	former := hold("e0")
+	s = restored(t, s, backup)
+	if next := hold("e1"); next <= former {
+		t.Errorf("held writes have the numbers %d and %d", former, next)
+	}
+}
+
+// A held write that takes the place of another one says so.
+func TestHeldWriteNamesTheOneItReplaces(t *testing.T) {
+	s := bootstrapped(t, 4)
+	for i, want := range []string{"", "in place of held write 1"} {
+		r := expectError(t, s, Command{Write: &Write{Base: Base{Any: true}, Replace: true, GuardShare: 0.5, Members: []Endpoint{endpoint(fmt.Sprint("e", i), 0)}}}, ErrHeld)
+		if !strings.Contains(r.Err.Error(), want) {
+			t.Errorf("got %q, want %q in it", r.Err, want)
+		}
+	}
+}
--- a/fleet/catalog/state.go
+++ b/fleet/catalog/state.go
@@ -441,9 +441,13 @@
 			if held := s.image.Held; held != nil && sameMembers(held.Write, w) { // the same write, held since the first attempt
 				return held.Number, fmt.Errorf("%d of %d serving endpoints would go: %w", removed, total, ErrHeld)
 			}
+			replaced := ""
+			if held := s.image.Held; held != nil {
+				replaced = fmt.Sprintf(", in place of held write %d", held.Number)
+			}
 			s.image.LastHeldNumber++
 			s.image.Held = &HeldWrite{Number: s.image.LastHeldNumber, At: c.At, By: c.By, Removed: removed, ServingTotal: total, Write: w}
-			return s.image.LastHeldNumber, fmt.Errorf("%d of %d serving endpoints would go: %w", removed, total, ErrHeld)
+			return s.image.LastHeldNumber, fmt.Errorf("%d of %d serving endpoints would go%s: %w", removed, total, replaced, ErrHeld)
 		}
 	}
 	if w.Replace { // a newer complete list supersedes the held write
--- a/internal/directory/restore_test.go
+++ b/internal/directory/restore_test.go
@@ -3,8 +3,12 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"starlingusher/fleet/catalog"
 )
@@ -46,3 +50,47 @@
 		t.Errorf("the holder's next token is %d after %d, %v", again, token, err)
 	}
 }
+
+// A directory that follows the platform's discovery has that one's list again after a restore. It guards against a backup's
+// list that stays until the source has a change.
+func TestRestoreWhileFollowing(t *testing.T) {
+	const member = `{"id":"%s","host_port":"h:1","locality":"a","flavor":"k","cell":3,"phase":"SERVING","size":1}`
+	var revision atomic.Int64
+	revision.Store(1)
+	source := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		for { // heartbeats, and the complete list at the beginning and when it changes
+			at := revision.Load()
+			fmt.Fprintf(w, `{"revision":%d,"complete":true,"members":[`+member+`,`+member+`]}`+"\n", at, "stays", fmt.Sprint("e", at))
+			for revision.Load() == at {
+				fmt.Fprintln(w)
+				w.(http.Flusher).Flush()
+				select {
+				case <-req.Context().Done():
+					return
+				case <-time.After(10 * time.Millisecond):
+				}
+			}
+		}
+	}))
+	defer source.Close()
+	o := startReplicas(t, 1, func(c *Config) { c.Source.Discovery, c.Guard.MaxRemovedShare = source.Listener.Addr().String(), 1 })[0]
+	defer o.stop() // before the source
+	lists := func(id string) func() bool {
+		return func() (listed bool) {
+			o.replica.fsm.view(func(s *catalog.State) { _, listed = s.Entry(id) })
+			return listed
+		}
+	}
+	eventually(t, "the first list", lists("e1"))
+	op := o.operator()
+	backup, _, err := op.Do(t.Context(), http.MethodGet, "/directory/backup?fresh=1", "", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	revision.Store(2)
+	eventually(t, "the second list", lists("e2"))
+	if _, _, err := op.Do(t.Context(), http.MethodPost, "/directory/restore", "", backup); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the source's list after the restore", lists("e2"))
+}
