Cleanup: Sleep lies in sysretry, one list of errors for injected faults, no unread counter

internal/sysretry imported internal/registry for Sleep alone; Sleep lies in sysretry now and registry and all others call it there. The errors that injected system calls fail with stood in the lab and in a test of cmd/coralyard; internal/lab/syscallfault has them. machine.failed of the lab was counted and never read.

--- a/cmd/coralyard/faults_test.go
+++ b/cmd/coralyard/faults_test.go
@@ -22,11 +22,6 @@
 	"starlingusher/internal/lab/syscallfault"
 )
 
-var (
-	folderErrors = []syscall.Errno{syscall.ENOSPC, syscall.EIO}
-	acceptErrors = []syscall.Errno{syscall.ECONNABORTED, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ENETUNREACH}
-)
-
 // startFaulty starts the program as startChild does, with system calls that fail as planned.
 func startFaulty(t *testing.T, config, state, admin string, plan syscallfault.Plan) *exec.Cmd {
 	t.Helper()
@@ -154,16 +149,16 @@
 						return syscallfault.Action{}
 					}
 					if journalOpens.Add(1) <= 4 { // the start fails first
-						return syscallfault.Action{Errno: folderErrors[random.IntN(len(folderErrors))]}
+						return syscallfault.Action{Errno: syscallfault.FolderErrors[random.IntN(len(syscallfault.FolderErrors))]}
 					}
 					fallthrough
 				case syscallfault.Write, syscallfault.Rename:
 					if random.Float64() < 0.2 {
-						return syscallfault.Action{Errno: folderErrors[random.IntN(len(folderErrors))], Half: call == syscallfault.Write && random.IntN(2) == 0}
+						return syscallfault.Action{Errno: syscallfault.FolderErrors[random.IntN(len(syscallfault.FolderErrors))], Half: call == syscallfault.Write && random.IntN(2) == 0}
 					}
 				case syscallfault.Accept:
 					if random.Float64() < 0.1 {
-						return syscallfault.Action{Errno: acceptErrors[random.IntN(len(acceptErrors))]}
+						return syscallfault.Action{Errno: syscallfault.AcceptErrors[random.IntN(len(syscallfault.AcceptErrors))]}
 					}
 				}
 				return syscallfault.Action{}
--- a/cmd/cottonrack/ownership.go
+++ b/cmd/cottonrack/ownership.go
@@ -16,8 +16,8 @@
 	"starlingusher/fleet/catalog"
 	"starlingusher/fleet/ownership"
 	"starlingusher/internal/directory"
-	"starlingusher/internal/registry"
 	"starlingusher/internal/settings"
+	"starlingusher/internal/sysretry"
 )
 
 type ownershipCmd struct {
@@ -345,7 +345,7 @@
 		if errors.Is(err, catalog.ErrNotHolder) { // another holder is writing, or has died
 			limit += applyLease
 		}
-		if answer.Outcome != ownership.Done && (time.Since(startedAt) > limit || !registry.Sleep(ctx, 100*time.Millisecond)) {
+		if answer.Outcome != ownership.Done && (time.Since(startedAt) > limit || !sysretry.Sleep(ctx, 100*time.Millisecond)) {
 			answer.Outcome = ownership.TimedOut
 		}
 		var ok bool
--- a/internal/directory/follow.go
+++ b/internal/directory/follow.go
@@ -9,6 +9,7 @@
 
 	"starlingusher/fleet/catalog"
 	"starlingusher/internal/registry"
+	"starlingusher/internal/sysretry"
 )
 
 // sourceTimeout is the silence after which the source counts as lost: two of its heartbeats are missing.
@@ -50,7 +51,7 @@
 
 // markSilence proposes the mark of a silent source, and its end.
 func (r *Replica) markSilence(ctx context.Context, heard *sourceClock) {
-	for registry.Sleep(ctx, pollInterval) {
+	for sysretry.Sleep(ctx, pollInterval) {
 		silent := heard.isSilent()
 		var marked bool
 		r.fsm.view(func(s *catalog.State) { marked = s.SourceSilentSince() > 0 })
@@ -60,7 +61,7 @@
 		r.log.Warn("the source of the list became silent or active", "discovery", r.cfg.Source.Discovery, "silent", silent)
 		if _, err := r.propose(catalog.Command{By: r.cfg.ID, SourceStatus: &catalog.SourceStatus{Silent: silent}}); err != nil {
 			r.log.Warn("marking the list failed", "err", err)
-			registry.Sleep(ctx, time.Second)
+			sysretry.Sleep(ctx, time.Second)
 		}
 	}
 }
--- a/internal/directory/lead.go
+++ b/internal/directory/lead.go
@@ -10,7 +10,7 @@
 	"github.com/hashicorp/raft"
 
 	"starlingusher/fleet/catalog"
-	"starlingusher/internal/registry"
+	"starlingusher/internal/sysretry"
 )
 
 // runLeadership runs the leader's work while this replica leads.
@@ -44,13 +44,13 @@
 func (r *Replica) runLeader(ctx context.Context) {
 	node := r.raftNode()
 	for node.Barrier(enqueueTimeout).Error() != nil {
-		if !registry.Sleep(ctx, pollInterval) {
+		if !sysretry.Sleep(ctx, pollInterval) {
 			return
 		}
 	}
 	position, _ := r.fsm.position()
 	for position.history == 0 {
-		if _, err := r.propose(catalog.Command{By: r.cfg.ID, Bootstrap: &catalog.Bootstrap{Replicas: r.cfg.replicas()}}); err != nil && !registry.Sleep(ctx, pollInterval) {
+		if _, err := r.propose(catalog.Command{By: r.cfg.ID, Bootstrap: &catalog.Bootstrap{Replicas: r.cfg.replicas()}}); err != nil && !sysretry.Sleep(ctx, pollInterval) {
 			return
 		}
 		position, _ = r.fsm.position()
@@ -82,7 +82,7 @@
 		case <-timer.C:
 		case <-changed:
 			timer.Stop()
-			if !registry.Sleep(ctx, pollInterval) { // batches changes
+			if !sysretry.Sleep(ctx, pollInterval) { // batches changes
 				return
 			}
 		}
--- a/internal/directory/members.go
+++ b/internal/directory/members.go
@@ -13,7 +13,7 @@
 	"github.com/hashicorp/raft"
 
 	"starlingusher/fleet/catalog"
-	"starlingusher/internal/registry"
+	"starlingusher/internal/sysretry"
 )
 
 // decideBootstrap asks the other replicas about the service until it is clear whether this one must bootstrap
@@ -52,7 +52,7 @@
 		if !warned {
 			r.log.Warn("waiting for the other replicas", "new", unbootstrapped, "of", len(r.cfg.Peers))
 		}
-		if !registry.Sleep(r.ctx, joinRetryInterval) {
+		if !sysretry.Sleep(r.ctx, joinRetryInterval) {
 			return false, r.ctx.Err()
 		}
 	}
@@ -61,7 +61,7 @@
 // joinUntilVoter asks to join until the leader confirms that this replica is a voter. The replica's own
 // configuration may date from before it was removed.
 func (r *Replica) joinUntilVoter() {
-	for registry.Sleep(r.ctx, joinRetryInterval) {
+	for sysretry.Sleep(r.ctx, joinRetryInterval) {
 		for _, p := range r.cfg.Peers {
 			var reply joinReply
 			err := r.callPeer(http.MethodPost, p.HTTP, "/directory/join", joinRequest{Replica: r.ownAddresses(), Applied: r.raftNode().AppliedIndex()}, &reply)
--- a/internal/directory/operator.go
+++ b/internal/directory/operator.go
@@ -16,7 +16,7 @@
 	"time"
 
 	"starlingusher/fleet/catalog"
-	"starlingusher/internal/registry"
+	"starlingusher/internal/sysretry"
 )
 
 // AdminClient sends requests to any replica that responds.
@@ -82,7 +82,7 @@
 			errs = append(errs, fmt.Errorf("%s: %w", address, err))
 			c.current++
 		}
-		if time.Now().After(deadline) || !registry.Sleep(ctx, retryPause) {
+		if time.Now().After(deadline) || !sysretry.Sleep(ctx, retryPause) {
 			return nil, nil, errors.Join(errs...)
 		}
 	}
--- a/internal/directory/watch.go
+++ b/internal/directory/watch.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"starlingusher/fleet/ownership"
-	"starlingusher/internal/registry"
+	"starlingusher/internal/sysretry"
 )
 
 const (
@@ -69,7 +69,7 @@
 // cutLagging ends watches whose next lines are no longer kept. Their writes block because the client does not
 // read.
 func (w *watchSet) cutLagging(ctx context.Context, s *Server) {
-	for registry.Sleep(ctx, sweepInterval) {
+	for sysretry.Sleep(ctx, sweepInterval) {
 		oldest := s.replica.fsm.oldestResumable()
 		w.mu.Lock()
 		for conn := range w.all {
--- a/internal/lab/machine.go
+++ b/internal/lab/machine.go
@@ -8,7 +8,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -28,13 +27,6 @@
 	signalsPerSeries = 6
 )
 
-var (
-	folderErrors  = []syscall.Errno{syscall.ENOSPC, syscall.EIO}
-	acceptErrors  = []syscall.Errno{syscall.ECONNABORTED, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ENETUNREACH}
-	socketErrors  = []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM}
-	connectErrors = []syscall.Errno{syscall.EADDRNOTAVAIL, syscall.ENETUNREACH, syscall.EHOSTUNREACH, syscall.ECONNREFUSED, syscall.ETIMEDOUT}
-)
-
 // machine is what a node's processes run on.
 type machine struct {
 	clock *wallclock.Clock // nil if the plan has no steps of it
@@ -45,7 +37,6 @@
 	folderShare float64 // of the calls on the folder that fail
 	socketShare float64 // of the calls on sockets that fail
 	intercepted bool    // the plan has failing calls
-	failed      atomic.Int64
 }
 
 // newMachine returns the machine of a node.
@@ -93,26 +84,25 @@
 		if m.random.Float64() >= share {
 			return syscallfault.Action{}
 		}
-		m.failed.Add(1)
 		return syscallfault.Action{Errno: errors[m.random.IntN(len(errors))]}
 	}
 	switch call {
 	case syscallfault.Open:
 		if strings.HasPrefix(path, m.folder) {
-			return pick(m.folderShare, folderErrors)
+			return pick(m.folderShare, syscallfault.FolderErrors)
 		}
 	case syscallfault.Write:
-		action := pick(m.folderShare, folderErrors)
+		action := pick(m.folderShare, syscallfault.FolderErrors)
 		action.Half = action.Errno != 0 && m.random.IntN(2) == 0
 		return action
 	case syscallfault.Truncate, syscallfault.Rename, syscallfault.Remove:
-		return pick(m.folderShare, folderErrors)
+		return pick(m.folderShare, syscallfault.FolderErrors)
 	case syscallfault.Accept:
-		return pick(m.socketShare, acceptErrors)
+		return pick(m.socketShare, syscallfault.AcceptErrors)
 	case syscallfault.Socket:
-		return pick(m.socketShare, socketErrors)
+		return pick(m.socketShare, syscallfault.SocketErrors)
 	case syscallfault.Connect:
-		return pick(m.socketShare, connectErrors)
+		return pick(m.socketShare, syscallfault.ConnectErrors)
 	}
 	return syscallfault.Action{}
 }
--- a/internal/lab/scale/hollow/changes.go
+++ b/internal/lab/scale/hollow/changes.go
@@ -10,7 +10,7 @@
 
 	"starlingusher/fleet/catalog"
 	"starlingusher/internal/lab/scale/play"
-	"starlingusher/internal/registry"
+	"starlingusher/internal/sysretry"
 )
 
 const (
@@ -63,14 +63,14 @@
 	}
 	startedAt := time.Now()
 	for i := range int(rate * duration.Seconds()) {
-		if !registry.Sleep(ctx, time.Until(startedAt.Add(time.Duration(float64(i)/rate*float64(time.Second))))) || time.Since(startedAt) >= duration {
+		if !sysretry.Sleep(ctx, time.Until(startedAt.Add(time.Duration(float64(i)/rate*float64(time.Second))))) || time.Since(startedAt) >= duration {
 			break
 		}
 		due <- i // some writer always receives it, even once the context has ended
 	}
 	close(due)
 	writersDone.Wait()
-	registry.Sleep(ctx, time.Until(startedAt.Add(duration)))
+	sysretry.Sleep(ctx, time.Until(startedAt.Add(duration)))
 	return written, lastRevision, context.Cause(ctx)
 }
 
@@ -120,7 +120,7 @@
 		return r, err
 	}
 	if s.Settings["quick"] == 0 {
-		registry.Sleep(ctx, cacheWriteWait)
+		sysretry.Sleep(ctx, cacheWriteWait)
 	}
 	replicaAddrs := svc.allAddresses()
 	var watchTraffic [2]traffic
--- a/internal/lab/scale/hollow/destinations.go
+++ b/internal/lab/scale/hollow/destinations.go
@@ -14,7 +14,7 @@
 	"starlingusher/fleet/catalog"
 	"starlingusher/internal/directory"
 	"starlingusher/internal/lab/scale/play"
-	"starlingusher/internal/registry"
+	"starlingusher/internal/sysretry"
 )
 
 const (
@@ -196,7 +196,7 @@
 		return r, err
 	}
 	r.SetValue("node.empty.step", empty)
-	registry.Sleep(ctx, cacheWriteWait)
+	sysretry.Sleep(ctx, cacheWriteWait)
 	if server.service != nil {
 		use, err := server.service.readUse()
 		if err != nil {
--- a/internal/lab/scale/hollow/faults.go
+++ b/internal/lab/scale/hollow/faults.go
@@ -11,7 +11,7 @@
 	"starlingusher/internal/lab/relay"
 	"starlingusher/internal/lab/replica"
 	"starlingusher/internal/lab/scale/play"
-	"starlingusher/internal/registry"
+	"starlingusher/internal/sysretry"
 )
 
 // fault is a kind of fault. begin starts it and returns a function that ends it.
@@ -40,7 +40,7 @@
 		startedAt := time.Now()
 		_, err = g.service.write(ctx, []catalog.Endpoint{endpointAt(endpoints)}, false)
 		endpoints, total = endpoints+1, total+1
-		if err == nil && !registry.Sleep(ctx, duration-time.Since(startedAt)) {
+		if err == nil && !sysretry.Sleep(ctx, duration-time.Since(startedAt)) {
 			err = ctx.Err()
 		}
 		if err := errors.Join(err, end()); err != nil { // end the fault even after an error
--- a/internal/lab/scale/hollow/nodes.go
+++ b/internal/lab/scale/hollow/nodes.go
@@ -11,7 +11,7 @@
 
 	"starlingusher/fleet/catalog"
 	"starlingusher/internal/lab/scale/play"
-	"starlingusher/internal/registry"
+	"starlingusher/internal/sysretry"
 )
 
 const (
@@ -134,7 +134,7 @@
 		return r, err
 	}
 	if !quick {
-		registry.Sleep(ctx, cacheWriteWait)
+		sysretry.Sleep(ctx, cacheWriteWait)
 	}
 	afterLongList, err := readUsage(group)
 	if err != nil {
@@ -237,7 +237,7 @@
 		if replicasUsed[i], err = g.service.readUse(); err != nil {
 			return err
 		}
-		if i == 0 && !registry.Sleep(ctx, window) {
+		if i == 0 && !sysretry.Sleep(ctx, window) {
 			return ctx.Err()
 		}
 	}
@@ -322,11 +322,11 @@
 			if _, err := g.service.write(ctx, []catalog.Endpoint{changedEndpoint(0, int64(i+1))}, false); err != nil {
 				return err
 			}
-			if !registry.Sleep(ctx, time.Until(startedAt.Add(time.Duration(i+1)*time.Second/burstRate))) {
+			if !sysretry.Sleep(ctx, time.Until(startedAt.Add(time.Duration(i+1)*time.Second/burstRate))) {
 				return ctx.Err()
 			}
 		}
-		registry.Sleep(ctx, burstTail)
+		sysretry.Sleep(ctx, burstTail)
 	}
 	calibrate("change.cpu", (cpuUsed[1]-cpuUsed[0])/float64(len(g.hollow))/burstChanges, (realCPU[1]-realCPU[0])/burstChanges)
 	return nil
--- a/internal/lab/scale/hollow/owned.go
+++ b/internal/lab/scale/hollow/owned.go
@@ -23,6 +23,7 @@
 	"starlingusher/internal/lab/scale/play"
 	"starlingusher/internal/node"
 	"starlingusher/internal/registry"
+	"starlingusher/internal/sysretry"
 )
 
 const (
@@ -268,7 +269,7 @@
 	worst, _ := probe.takeWorst()
 	r.SetValue("owned.list.step", worst.Seconds())
 	r.SetCount("map.step", time.Duration(mapStep.Load()).Seconds()) // includes writing the map's file
-	registry.Sleep(ctx, trailerWait)                                // the last two bytes of an HTTP chunk may come after its line
+	sysretry.Sleep(ctx, trailerWait)                                // the last two bytes of an HTTP chunk may come after its line
 	listBytes, requests := proxy.responseBytes(isListRequest)
 	if requests == 1 {
 		r.SetValue("owned.list.bytes", listBytes)
@@ -326,7 +327,7 @@
 	if err := awaitRevision(last); err != nil {
 		return r, err
 	}
-	registry.Sleep(ctx, trailerWait)
+	sysretry.Sleep(ctx, trailerWait)
 	after, _ := proxy.responseBytes(isListRequest)
 	r.SetCount("foreign.changes", float64(changes))
 	r.SetCount("foreign.bytes", after-before)
@@ -334,7 +335,7 @@
 	if s.Settings["quick"] == 0 {
 		idleBefore, _ := proxy.responseBytes(anyPath)
 		startedAt := time.Now()
-		registry.Sleep(ctx, ownedIdleWindow)
+		sysretry.Sleep(ctx, ownedIdleWindow)
 		idleAfter, _ := proxy.responseBytes(anyPath)
 		r.SetCount("idle.bytes_s", (idleAfter-idleBefore)/time.Since(startedAt).Seconds())
 	}
@@ -344,7 +345,7 @@
 		return r, err
 	}
 	r.SetValue("owned.empty.step", empty)
-	registry.Sleep(ctx, cacheWriteWait)
+	sysretry.Sleep(ctx, cacheWriteWait)
 	use, err := svc.readUse()
 	if err != nil {
 		return r, err
--- a/internal/lab/scale/hollow/service.go
+++ b/internal/lab/scale/hollow/service.go
@@ -22,7 +22,7 @@
 	"starlingusher/internal/lab/relay"
 	"starlingusher/internal/lab/replica"
 	"starlingusher/internal/lab/scale/play"
-	"starlingusher/internal/registry"
+	"starlingusher/internal/sysretry"
 )
 
 // Parts of the play's block of loopback addresses, by the third byte; replicas have 253 and 254.
@@ -238,7 +238,7 @@
 		if !errors.Is(err, directory.ErrAmbiguous) && !errors.Is(err, directory.ErrRefused) {
 			return 0, err
 		}
-		registry.Sleep(ctx, retryPause)
+		sysretry.Sleep(ctx, retryPause)
 	}
 }
 
--- a/internal/lab/scale/hollow/together.go
+++ b/internal/lab/scale/hollow/together.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"starlingusher/internal/lab/scale/play"
-	"starlingusher/internal/registry"
+	"starlingusher/internal/sysretry"
 )
 
 const settleTime = 2 * time.Second // before the start, so that the work of the other nodes' start is over
@@ -61,7 +61,7 @@
 		return r, err
 	}
 	if s.Settings["quick"] == 0 {
-		registry.Sleep(ctx, settleTime)
+		sysretry.Sleep(ctx, settleTime)
 	}
 	refusedBefore, err := svc.refusedRequests(ctx)
 	if err != nil {
--- a/internal/lab/trial/leases.go
+++ b/internal/lab/trial/leases.go
@@ -10,7 +10,7 @@
 	"slices"
 	"time"
 
-	"starlingusher/internal/registry"
+	"starlingusher/internal/sysretry"
 )
 
 const (
@@ -71,7 +71,7 @@
 		err = json.Unmarshal(raw, &decoded)
 		return decoded, err == nil
 	}
-	for registry.Sleep(ctx, time.Duration(random.ExpFloat64()*float64(80*time.Millisecond))) {
+	for sysretry.Sleep(ctx, time.Duration(random.ExpFloat64()*float64(80*time.Millisecond))) {
 		requestedAt := t.elapsed()
 		granted, ok := send(http.MethodPut, "/records/"+leaseRecord,
 			map[string]any{"holder": fmt.Sprint("h", holder), "ttl_ms": leaseTTL.Milliseconds()})
@@ -80,7 +80,7 @@
 		}
 		holding := LeaseHolding{Holder: holder, Token: granted.Token, From: t.elapsed(), Until: requestedAt + leaseTTL}
 		for range random.IntN(8) {
-			if !registry.Sleep(ctx, time.Duration(random.Int64N(int64(leaseTTL)))) {
+			if !sysretry.Sleep(ctx, time.Duration(random.Int64N(int64(leaseTTL)))) {
 				break
 			}
 			renewedAt := t.elapsed()
--- a/internal/lab/trial/ownership.go
+++ b/internal/lab/trial/ownership.go
@@ -25,7 +25,7 @@
 	"starlingusher/internal/lab/proc"
 	"starlingusher/internal/lab/relay"
 	"starlingusher/internal/lab/replica"
-	"starlingusher/internal/registry"
+	"starlingusher/internal/sysretry"
 )
 
 const (
@@ -323,7 +323,7 @@
 func (t *ownershipTrial) changeList(ctx context.Context) {
 	random := rand.New(rand.NewPCG(t.options.Seed, 4000))
 	admin := t.newClient(400)
-	for registry.Sleep(ctx, time.Duration(random.ExpFloat64()*float64(meanListChangeInterval))) {
+	for sysretry.Sleep(ctx, time.Duration(random.ExpFloat64()*float64(meanListChangeInterval))) {
 		i := random.IntN(changingEndpoints)
 		endpoint := t.destinationEndpoint(fmt.Sprint("c", i), random.IntN(steadyDestinations+intermittentDestinations),
 			steadyDestinations+i)
@@ -343,7 +343,7 @@
 
 // pollMap reads the map from one replica again and again, until the context ends.
 func (t *ownershipTrial) pollMap(ctx context.Context, r *replica.Replica) {
-	for registry.Sleep(ctx, pollInterval) {
+	for sysretry.Sleep(ctx, pollInterval) {
 		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.OwnAddr(replica.HTTP)+mapPath, nil)
 		if err != nil {
 			return
@@ -513,7 +513,7 @@
 func (t *ownershipTrial) detectStalls(ctx context.Context) {
 	for {
 		before := t.elapsed()
-		if !registry.Sleep(ctx, stallCheckInterval) {
+		if !sysretry.Sleep(ctx, stallCheckInterval) {
 			return
 		}
 		if stall := t.elapsed() - before - stallCheckInterval; stall > stallThreshold {
@@ -531,7 +531,7 @@
 func (t *ownershipTrial) submitMessages(ctx context.Context, node *deliveryNode) {
 	random := rand.New(rand.NewPCG(t.options.Seed, uint64(5000+node.number)))
 	var accepted []Submission
-	for registry.Sleep(ctx, time.Duration(random.ExpFloat64()*float64(meanSubmitInterval))) {
+	for sysretry.Sleep(ctx, time.Duration(random.ExpFloat64()*float64(meanSubmitInterval))) {
 		if len(accepted) > 0 && random.IntN(4) == 0 {
 			submission := accepted[0]
 			accepted = accepted[1:]
@@ -587,18 +587,18 @@
 var ownershipFaults = []ownershipFault{
 	{"node killed", nodeFault(func(t *ownershipTrial, ctx context.Context, n *deliveryNode, d time.Duration) error {
 		n.kill()
-		registry.Sleep(ctx, d)
+		sysretry.Sleep(ctx, d)
 		return n.start(ctx)
 	})},
 	{"node ended", nodeFault(func(t *ownershipTrial, ctx context.Context, n *deliveryNode, d time.Duration) error {
 		n.process().Terminate(ctx, stopTimeout)
-		registry.Sleep(ctx, d/4)
+		sysretry.Sleep(ctx, d/4)
 		return n.start(ctx)
 	})},
 	{"node stopped", nodeFault(func(t *ownershipTrial, ctx context.Context, n *deliveryNode, d time.Duration) error {
 		p := n.process()
 		p.Signal(syscall.SIGSTOP)
-		registry.Sleep(ctx, d)
+		sysretry.Sleep(ctx, d)
 		return p.Signal(syscall.SIGCONT)
 	})},
 	{"node handed over", nodeFault(func(t *ownershipTrial, ctx context.Context, n *deliveryNode, d time.Duration) error {
@@ -610,7 +610,7 @@
 			defer t.setLinks(n.fronts, healthyLink)
 			n.kill()
 			saved, _ := n.savedList() // the node may have been killed before it stored a list
-			registry.Sleep(ctx, d/2)
+			sysretry.Sleep(ctx, d/2)
 			if err := n.start(ctx); err != nil {
 				return err
 			}
@@ -622,7 +622,7 @@
 		})},
 	{"node cut off", nodeFault(func(t *ownershipTrial, ctx context.Context, n *deliveryNode, d time.Duration) error {
 		t.setLinks(n.fronts, relay.Conditions{CutOutbound: t.random.IntN(2) == 0, CutReturn: true})
-		registry.Sleep(ctx, d)
+		sysretry.Sleep(ctx, d)
 		t.setLinks(n.fronts, healthyLink)
 		return nil
 	})},
@@ -644,7 +644,7 @@
 		t.mu.Lock()
 		clear(t.killOnFetch)
 		t.mu.Unlock()
-		registry.Sleep(ctx, d/4)
+		sysretry.Sleep(ctx, d/4)
 		for len(t.killedNodes) > 0 {
 			killed = append(killed, <-t.killedNodes)
 		}
@@ -671,7 +671,7 @@
 		cutOff := relay.Conditions{CutOutbound: true, CutReturn: true}
 		t.replicas[region].Links[replica.Raft].SetConditions(cutOff)
 		t.setLinks(severed, cutOff)
-		registry.Sleep(ctx, d)
+		sysretry.Sleep(ctx, d)
 		t.replicas[region].Links[replica.Raft].SetConditions(healthyLink)
 		t.replicas[region].Links[replica.Raft].ResetConnections()
 		t.setLinks(severed, healthyLink)
@@ -687,7 +687,7 @@
 				n.kill()
 			}
 		}
-		registry.Sleep(ctx, d)
+		sysretry.Sleep(ctx, d)
 		for _, n := range t.nodes {
 			errs = append(errs, n.start(ctx))
 		}
@@ -698,7 +698,7 @@
 		for _, r := range t.replicas {
 			r.Kill()
 		}
-		registry.Sleep(ctx, d/2)
+		sysretry.Sleep(ctx, d/2)
 		var checks sync.WaitGroup
 		for _, n := range t.nodes {
 			checks.Go(func() { t.checkAcceptsWithoutDirectory(ctx, n, func(int) bool { return true }) })
@@ -810,7 +810,7 @@
 			}
 		}
 		if older {
-			registry.Sleep(ctx, duration)
+			sysretry.Sleep(ctx, duration)
 		}
 	}
 }
@@ -826,7 +826,7 @@
 	}
 	var remaining []ownershipFault
 	for end := t.elapsed() + t.options.Duration; t.elapsed() < end; {
-		if !registry.Sleep(ctx, time.Duration(100+t.random.IntN(400))*time.Millisecond) {
+		if !sysretry.Sleep(ctx, time.Duration(100+t.random.IntN(400))*time.Millisecond) {
 			return ctx.Err()
 		}
 		if len(remaining) == 0 {
@@ -993,7 +993,7 @@
 					"state", submission.Answer, "wait", submission.RetryAfter, "why", submission.Reason, "took",
 					submission.Return-submission.Call)
 			}
-			if correct || !untilCorrect && !busy || t.hasFoundInjected() || !registry.Sleep(ctx, pollInterval) {
+			if correct || !untilCorrect && !busy || t.hasFoundInjected() || !sysretry.Sleep(ctx, pollInterval) {
 				submissions = append(submissions, submission)
 				break
 			}
--- a/internal/lab/trial/ownership_control.go
+++ b/internal/lab/trial/ownership_control.go
@@ -12,7 +12,7 @@
 
 	"starlingusher/fleet/ownership"
 	"starlingusher/internal/directory"
-	"starlingusher/internal/registry"
+	"starlingusher/internal/sysretry"
 )
 
 const (
@@ -63,7 +63,7 @@
 // run changes the map again and again until the context ends.
 func (c *controller) run(ctx context.Context) {
 	var remaining []interruption
-	for registry.Sleep(ctx, time.Duration((0.5+c.random.Float64())*float64(meanMapChangeInterval))) {
+	for sysretry.Sleep(ctx, time.Duration((0.5+c.random.Float64())*float64(meanMapChangeInterval))) {
 		if len(remaining) == 0 {
 			remaining = slices.Clone(interruptions)
 			c.random.Shuffle(len(remaining), func(i, j int) { remaining[i], remaining[j] = remaining[j], remaining[i] })
@@ -133,7 +133,7 @@
 		case answer.Outcome != ownership.Done && time.Now().After(deadline):
 			answer.Outcome = ownership.TimedOut
 		case answer.Outcome == ownership.Refused: // another holder has the lease, or too few replicas are up
-			registry.Sleep(ctx, retryPause)
+			sysretry.Sleep(ctx, retryPause)
 		}
 		var ok bool
 		if action, ok = publisher.Step(answer); !ok {
@@ -168,7 +168,7 @@
 		record, err = c.request(ctx, http.MethodGet, mapPath+"?fresh=1", nil)
 	case ownership.Update:
 		if interrupted == sleepsPastLease {
-			registry.Sleep(ctx, mapLeaseTTL+time.Duration(c.random.Int64N(int64(mapLeaseTTL))))
+			sysretry.Sleep(ctx, mapLeaseTTL+time.Duration(c.random.Int64N(int64(mapLeaseTTL))))
 		}
 		write := MapWrite{Writer: fmt.Sprint(c.name, "-", c.incarnation), Number: planned.Number,
 			Checksum: checksum(action.Value), Outcome: Done, Call: c.trial.elapsed()}
--- a/internal/lab/trial/ownership_node.go
+++ b/internal/lab/trial/ownership_node.go
@@ -22,7 +22,7 @@
 	"starlingusher/fleet/history"
 	"starlingusher/fleet/judge"
 	"starlingusher/internal/lab/proc"
-	"starlingusher/internal/registry"
+	"starlingusher/internal/sysretry"
 )
 
 const (
@@ -198,7 +198,7 @@
 	if err != nil {
 		return err
 	}
-	registry.Sleep(ctx, delay)
+	sysretry.Sleep(ctx, delay)
 	if err := old.Terminate(ctx, stopTimeout); err != nil {
 		return err
 	}
--- a/internal/lab/trial/size.go
+++ b/internal/lab/trial/size.go
@@ -30,7 +30,7 @@
 	"starlingusher/internal/lab/replica"
 	"starlingusher/internal/lab/standin"
 	"starlingusher/internal/loopback"
-	"starlingusher/internal/registry"
+	"starlingusher/internal/sysretry"
 )
 
 // SizeOptions configure the measurement. Program is the operators' program.
@@ -230,7 +230,7 @@
 	for n := range options.Watchers {
 		watchers.Go(func() {
 			random := rand.New(rand.NewPCG(uint64(n), 7))
-			if !registry.Sleep(watchCtx, time.Duration(random.Int64N(int64(time.Second)))) { // all watchers start within one second
+			if !sysretry.Sleep(watchCtx, time.Duration(random.Int64N(int64(time.Second)))) { // all watchers start within one second
 				return
 			}
 			if method == "poll" {
@@ -250,7 +250,7 @@
 	if method == "directory" {
 		s.ReconnectTime, s.RefusedWatches = time.Duration(lastConnected.Load()), int(refused.Load())
 	}
-	registry.Sleep(ctx, 2*time.Second)
+	sysretry.Sleep(ctx, 2*time.Second)
 	usageWith, err := process.Usage()
 	if err != nil {
 		return err
@@ -258,7 +258,7 @@
 	cpuBefore, measuredFrom := cpuTime(process.PID()), time.Now()
 	firstStamp := measuredFrom.UnixMicro()
 	if method == "encode for each" {
-		registry.Sleep(ctx, options.Duration)
+		sysretry.Sleep(ctx, options.Duration)
 	} else {
 		var writes sync.WaitGroup
 		for sent := 0; time.Since(measuredFrom) < options.Duration; sent++ {
@@ -278,7 +278,7 @@
 	lastStamp := time.Now().UnixMicro()
 	cpuUsed := cpuTime(process.PID()) - cpuBefore
 	elapsed := time.Since(measuredFrom)
-	registry.Sleep(ctx, 2*time.Second)
+	sysretry.Sleep(ctx, 2*time.Second)
 	stop()
 	watchers.Wait()
 	propagation := Propagation{Method: method, BytesPerWatcher: (usageWith.RSS - usageBefore.RSS) / int64(options.Watchers),
@@ -334,7 +334,7 @@
 			refused.Add(1)
 			stop()
 			conn.Close()
-			if !registry.Sleep(ctx, time.Second+time.Duration(random.Int64N(int64(time.Second)))) {
+			if !sysretry.Sleep(ctx, time.Second+time.Duration(random.Int64N(int64(time.Second)))) {
 				return
 			}
 			continue
@@ -369,7 +369,7 @@
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}}
 	defer client.CloseIdleConnections()
 	latest := int64(0)
-	registry.Sleep(ctx, time.Duration(random.Int64N(int64(interval))))
+	sysretry.Sleep(ctx, time.Duration(random.Int64N(int64(interval))))
 	for ctx.Err() == nil {
 		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/registry/instances", nil)
 		if err != nil {
@@ -383,7 +383,7 @@
 				latest = parseStamps(raw, latest, func(v int64) { recorded.record(v, now) })
 			}
 		}
-		registry.Sleep(ctx, interval)
+		sysretry.Sleep(ctx, interval)
 	}
 }
 
@@ -471,7 +471,7 @@
 				false, false, "*"); err == nil {
 				break
 			}
-			if time.Since(killedAt) > settleTimeout || !registry.Sleep(ctx, 5*time.Millisecond) {
+			if time.Since(killedAt) > settleTimeout || !sysretry.Sleep(ctx, 5*time.Millisecond) {
 				return errors.New("no write succeeded after the leader was killed")
 			}
 		}
--- a/internal/lab/trial/trial.go
+++ b/internal/lab/trial/trial.go
@@ -24,6 +24,7 @@
 	"starlingusher/internal/lab/relay"
 	"starlingusher/internal/lab/replica"
 	"starlingusher/internal/registry"
+	"starlingusher/internal/sysretry"
 )
 
 const (
@@ -164,7 +165,7 @@
 		if time.Now().After(deadline) {
 			return fmt.Errorf("timed out after %v waiting for %s", settleTimeout, name)
 		}
-		if !registry.Sleep(ctx, 20*time.Millisecond) {
+		if !sysretry.Sleep(ctx, 20*time.Millisecond) {
 			return ctx.Err()
 		}
 	}
@@ -283,7 +284,7 @@
 func (t *trial) runWriter(ctx context.Context, writer int) {
 	random := rand.New(rand.NewPCG(t.options.Seed, uint64(1000+writer)))
 	client := t.newClient(writer)
-	for registry.Sleep(ctx, time.Duration(random.ExpFloat64()*float64(meanOperationInterval))) {
+	for sysretry.Sleep(ctx, time.Duration(random.ExpFloat64()*float64(meanOperationInterval))) {
 		id := fmt.Sprint("e", random.IntN(endpointCount))
 		client.Addresses = t.shuffledAddresses(random.Uint64())
 		switch random.IntN(3) {
@@ -357,13 +358,13 @@
 var faults = []fault{
 	{"kill", func(t *trial, ctx context.Context, r *replica.Replica, d time.Duration) error {
 		r.Kill()
-		registry.Sleep(ctx, d)
+		sysretry.Sleep(ctx, d)
 		return r.Start()
 	}},
 	{"stop", func(t *trial, ctx context.Context, r *replica.Replica, d time.Duration) error {
 		p := r.Process()
 		p.Signal(syscall.SIGSTOP)
-		registry.Sleep(ctx, d)
+		sysretry.Sleep(ctx, d)
 		return p.Signal(syscall.SIGCONT)
 	}},
 	{"cut towards", cutLink(replica.Raft, relay.Conditions{CutOutbound: true})},
@@ -376,7 +377,7 @@
 		if err := p.SetDiskFull(true); err != nil {
 			return err
 		}
-		registry.Sleep(ctx, d)
+		sysretry.Sleep(ctx, d)
 		select {
 		case <-p.Done():
 			return r.Start()
@@ -389,7 +390,7 @@
 		if err := os.RemoveAll(r.DataDir()); err != nil {
 			return err
 		}
-		registry.Sleep(ctx, d/4)
+		sysretry.Sleep(ctx, d/4)
 		return t.rejoin(ctx, r)
 	}},
 	{"log damaged", func(t *trial, ctx context.Context, r *replica.Replica, d time.Duration) error {
@@ -402,7 +403,7 @@
 		if err := os.Truncate(path, info.Size()*3/4); err != nil {
 			return err
 		}
-		registry.Sleep(ctx, d/4)
+		sysretry.Sleep(ctx, d/4)
 		return t.rejoin(ctx, r)
 	}},
 	{"two gone", func(t *trial, ctx context.Context, r *replica.Replica, d time.Duration) error {
@@ -413,7 +414,7 @@
 				killed = append(killed, other)
 			}
 		}
-		registry.Sleep(ctx, d)
+		sysretry.Sleep(ctx, d)
 		return errors.Join(killed[0].Start(), killed[1].Start())
 	}},
 }
@@ -421,7 +422,7 @@
 func cutLink(link int, conditions relay.Conditions) func(*trial, context.Context, *replica.Replica, time.Duration) error {
 	return func(_ *trial, ctx context.Context, r *replica.Replica, duration time.Duration) error {
 		r.Links[link].SetConditions(conditions)
-		registry.Sleep(ctx, duration)
+		sysretry.Sleep(ctx, duration)
 		r.Links[link].SetConditions(healthyLink)
 		r.Links[link].ResetConnections()
 		return nil
@@ -446,7 +447,7 @@
 		return fmt.Errorf("no fault has any of the names %q", t.options.FaultKinds)
 	}
 	for t.elapsed() < t.options.Duration {
-		if !registry.Sleep(ctx, time.Duration(200+t.random.IntN(600))*time.Millisecond) {
+		if !sysretry.Sleep(ctx, time.Duration(200+t.random.IntN(600))*time.Millisecond) {
 			return ctx.Err()
 		}
 		f, duration := kinds[t.random.IntN(len(kinds))], time.Duration(300+t.random.IntN(1500))*time.Millisecond
@@ -575,7 +576,7 @@
 		history.Changes = append(history.Changes, page.Changes...)
 		if len(page.Changes) == 0 && page.Revision < current.Revision { // the replica is no longer the leader
 			leader = operatorClient(t.leader(ctx))
-			registry.Sleep(ctx, retryPause)
+			sysretry.Sleep(ctx, retryPause)
 			continue
 		}
 		if len(page.Changes) == 0 {
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -14,7 +14,7 @@
 	"sync"
 	"time"
 
-	"starlingusher/internal/registry"
+	"starlingusher/internal/sysretry"
 	"starlingusher/internal/wire"
 )
 
@@ -206,7 +206,7 @@
 	case errors.Is(err, net.ErrClosed):
 		return false
 	}
-	return registry.Sleep(ctx, retryDelay) // most likely the process or the system is out of something
+	return sysretry.Sleep(ctx, retryDelay) // most likely the process or the system is out of something
 }
 
 // acceptUntil ends accepting at the given time, if the listener supports that, and otherwise now.
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -10,6 +10,7 @@
 
 	"starlingusher/internal/registry"
 	"starlingusher/internal/settings"
+	"starlingusher/internal/sysretry"
 )
 
 const saveInterval = time.Second // shortest time between two writes of the cached list
@@ -157,7 +158,7 @@
 func (k *listCache) run(ctx context.Context) {
 	failing := false
 	for running := true; running; {
-		running = registry.Sleep(ctx, saveInterval)
+		running = sysretry.Sleep(ctx, saveInterval)
 		err := k.flush()
 		if err != nil && !failing {
 			k.log.Warn("the list can't be cached", "err", err)
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -321,7 +321,7 @@
 			lastWarning = text
 			log.Warn("another process holds the node", "err", err)
 		}
-		if !registry.Sleep(ctx, lockPoll) {
+		if !sysretry.Sleep(ctx, lockPoll) {
 			return nil, nil, ctx.Err()
 		}
 	}
@@ -411,7 +411,7 @@
 		if locked, err = tryLock(lock); err != nil {
 			return nil, nil, err
 		}
-		if !locked && !registry.Sleep(ctx, time.Millisecond) {
+		if !locked && !sysretry.Sleep(ctx, time.Millisecond) {
 			return nil, nil, ctx.Err()
 		}
 	}
@@ -578,7 +578,7 @@
 		}
 		if err != nil {
 			n.log.Warn("no other process can be accepted; trying again", "err", err)
-			registry.Sleep(ctx, acceptRetryDelay)
+			sysretry.Sleep(ctx, acceptRetryDelay)
 			continue
 		}
 		l := newHandoverConn(conn)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -285,10 +285,10 @@
 		n.log.Debug("stopping", "calls_end_in", stopAfter, "clients_are_disconnected_in", disconnectAfter)
 		stopBy := time.Now().Add(stopAfter)
 		n.sendEvent(runCtx, choice.Stopping{By: n.moduleTime(stopBy)})
-		registry.Sleep(runCtx, disconnectAfter)
+		sysretry.Sleep(runCtx, disconnectAfter)
 		clients.close(shutdownGrace) // the loop, which still runs, answers clients in the middle of a request
 		n.log.Debug("clients are disconnected", "after", time.Since(stopBy)+stopAfter)
-		registry.Sleep(runCtx, time.Until(stopBy))
+		sysretry.Sleep(runCtx, time.Until(stopBy))
 	})
 	n.loop(runCtx, stopped)
 
@@ -514,7 +514,7 @@
 			return
 		}
 		if n.isLate() { // what came meanwhile, such as an answer that asks for a wait, is heard before the next decision
-			registry.Sleep(ctx, settleTime)
+			sysretry.Sleep(ctx, settleTime)
 		}
 		for more := true; more && len(batch) < maxBatch; {
 			select {
--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"starlingusher/internal/registry"
+	"starlingusher/internal/sysretry"
 )
 
 const (
@@ -79,7 +80,7 @@
 			if rounds++; rounds <= firstNoticeRounds {
 				pause = min(pause, maxFirstNoticePause)
 			}
-			registry.Sleep(ctx, pause)
+			sysretry.Sleep(ctx, pause)
 		}
 	}
 	return unanswered
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -18,6 +18,7 @@
 
 	"starlingusher/fleet/catalog"
 	"starlingusher/fleet/ownership"
+	"starlingusher/internal/sysretry"
 )
 
 // A node must know a change within 6 s of when the service had it and was reachable, whichever request
@@ -186,18 +187,6 @@
 // reset clears the failure counts.
 func (p *retryPolicy) reset() { p.backoff, p.refusals = 0, 0 }
 
-// Sleep waits, and reports whether the context is still alive afterwards.
-func Sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // Watcher follows the list of endpoints.
 type Watcher struct {
 	Addresses []string // at least one; all serve the same list
@@ -280,7 +269,7 @@
 			next++
 			w.Cursor.tryNextServer(time.Now())
 		}
-		Sleep(ctx, wait)
+		sysretry.Sleep(ctx, wait)
 	}
 }
 
--- a/internal/registry/told_test.go
+++ b/internal/registry/told_test.go
@@ -15,6 +15,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"starlingusher/internal/sysretry"
 )
 
 // knownWithin is the time within which a node must know a change, from when the service had it and was
@@ -73,7 +75,7 @@
 		} else if tick%20 == 0 {
 			writeFlush(w, "\n")
 		}
-		if !Sleep(req.Context(), 100*time.Millisecond) {
+		if !sysretry.Sleep(req.Context(), 100*time.Millisecond) {
 			return
 		}
 	}
@@ -111,7 +113,7 @@
 // trickle sends a list byte by byte, without end.
 func trickle(s *fakeService, w http.ResponseWriter, req *http.Request) {
 	writeFlush(w, `{"revision":9,"complete":true,"members":[`)
-	for Sleep(req.Context(), 100*time.Millisecond) {
+	for sysretry.Sleep(req.Context(), 100*time.Millisecond) {
 		writeFlush(w, "\n")
 	}
 }
--- a/internal/sysretry/sysretry.go
+++ b/internal/sysretry/sysretry.go
@@ -10,8 +10,6 @@
 	"slices"
 	"syscall"
 	"time"
-
-	"starlingusher/internal/registry"
 )
 
 // pollInterval is the time between two tries to get something from the system.
@@ -39,7 +37,7 @@
 		if !warned {
 			log.Warn(problem, "err", err)
 		}
-		if !registry.Sleep(ctx, pollInterval) {
+		if !Sleep(ctx, pollInterval) {
 			return opened, errors.Join(ctx.Err(), err)
 		}
 	}
