Tests: a port that one test process has reserved is not given to another

Excluded: the node itself (it logged nothing and ended only by the test's cleanup), a port given twice within the process, a connection to itself (the port is below the range of outgoing ones).

--- a/internal/loopback/loopback_test.go
+++ b/internal/loopback/loopback_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"path/filepath"
 	"testing"
 )
 
@@ -24,3 +25,14 @@
 		listener.Close()
 	}
 }
+
+// A port that is reserved is not given to another process, even while nobody listens there. A lock is its file's, so a second
+// one in this process stands for another's.
+func TestReservedPortIsNotGivenAgain(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "20000")
+	for i, want := range []bool{true, false} {
+		if locked, err := reserve(path); err != nil || locked != want {
+			t.Errorf("try %d: %v, %v", i, locked, err)
+		}
+	}
+}
