Test: TestOwners waits until each replica knows that all three vote

Trace: the leader made d2 a voter at 42.012 s and was stopped within the next half second; from then on d2 rejects d1's votes, "rejecting pre-vote request since node is not a voter". The test had seen three votes in the status of one replica, whose configuration may not have reached d2 yet. Two of three were left, of which one did not know that it votes: the library elects nobody then. It asks each replica now, which is stricter.

--- a/cmd/coralyard/ownership_test.go
+++ b/cmd/coralyard/ownership_test.go
@@ -263,15 +263,21 @@
 	check(first)
 	second := makeMap(2, first, "n1")
 	check(second)
-	eventually(t, "three votes", func() bool { // replicas become voters one after the other
-		st, err := op.Status(t.Context())
-		votes := 0
-		for _, m := range st.Members {
-			if m.Votes {
-				votes++
+	eventually(t, "three votes", func() bool { // replicas become voters one after the other, and each has to know all
+		for _, addr := range addrs {
+			one := &directory.AdminClient{Addresses: []string{addr}}
+			status, err := one.Status(t.Context())
+			votes := 0
+			for _, m := range status.Members {
+				if m.Votes {
+					votes++
+				}
+			}
+			if err != nil || votes != len(addrs) {
+				return false
 			}
 		}
-		return err == nil && votes == 3
+		return true
 	})
 	stop[0]()
 	op.Addresses = addrs[1:]
