Node: a connection that has rested is used without a timer

finishRest made a timer of no time for each reused connection, which costs a wake of the process for nothing. TestExtraAnswerIsNotTheNextCalls and the tests of idle connections pass with -race.

--- a/internal/node/idle_conns.go
+++ b/internal/node/idle_conns.go
@@ -58,14 +58,8 @@
 
 // finishRest waits until a claimed connection has rested, and reports whether it still works and nothing has arrived.
 func (k *conn) finishRest(ctx context.Context) bool {
-	rested := time.NewTimer(time.Until(k.restedAt))
-	defer rested.Stop()
-	select {
-	case <-k.idleWatchErr: // the endpoint has closed the connection or sent something
-		return false
-	case <-ctx.Done():
+	if left := time.Until(k.restedAt); left > 0 && !k.staysQuiet(ctx, left) {
 		return false
-	case <-rested.C:
 	}
 	// This interrupts the read of the idle watch. If the endpoint had closed the connection or sent anything, the read would
 	// have ended with another error, and a request would be answered by a reset.
@@ -74,6 +68,20 @@
 	return errors.Is(err, os.ErrDeadlineExceeded) && k.isQuiet() && k.SetReadDeadline(time.Time{}) == nil
 }
 
+// staysQuiet waits for a time, and reports whether the endpoint has neither closed the connection nor sent something.
+func (k *conn) staysQuiet(ctx context.Context, wait time.Duration) bool {
+	rested := time.NewTimer(wait)
+	defer rested.Stop()
+	select {
+	case <-k.idleWatchErr:
+		return false
+	case <-ctx.Done():
+		return false
+	case <-rested.C:
+		return true
+	}
+}
+
 // closeNewestIdle closes the most recently used idle connection to an endpoint.
 func (p *pool) closeNewestIdle(id string) {
 	p.mu.Lock()
