--- a/cmd/coralyard/main_test.go
+++ b/cmd/coralyard/main_test.go
@@ -193,15 +193,7 @@
 	second.Process.Kill()
 	second.Wait()
 	awaitReady(t, firstAdmin)
-	nc, err := net.Dial("tcp", listen)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer nc.Close()
-	fmt.Fprint(nc, "*5\r\n$7\r\nENQUEUE\r\n$1\r\n0\r\n$1\r\na\r\n$23\r\nc=status,d=100,dest=007\r\n$0\r\n\r\n")
-	if line, err := bufio.NewReader(nc).ReadString('\n'); line != "+OK\r\n" {
-		t.Fatalf("got %q, %v", line, err)
-	}
+	enqueue(t, listen, "a", 100*time.Millisecond)
 	select {
 	case <-moved.posts:
 	case notice := <-former.posts:
--- a/fleet/catalog/restore_test.go
+++ b/fleet/catalog/restore_test.go
@@ -8,15 +8,15 @@
 	"time"
 )
 
+// firstToken is the first fencing token of a state that bootstrapped returns: one more than its history.
+const firstToken = 1001
+
 // recordState returns a state after the commands.
 func recordState(t *testing.T, commands ...Command) *State {
 	t.Helper()
-	s := New()
-	s.Apply(Command{At: 1, Bootstrap: &Bootstrap{}})
+	s := bootstrapped(t, 0)
 	for _, c := range commands {
-		if r := s.Apply(c); r.Err != nil {
-			t.Fatal(r.Err)
-		}
+		apply(t, s, c)
 	}
 	return s
 }
@@ -32,9 +32,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if r := s.Apply(Command{At: 2, Restore: &image}); r.Err != nil {
-		t.Fatal(r.Err)
-	}
+	apply(t, s, Command{At: 2000, Restore: &image})
 	return s
 }
 
@@ -42,7 +40,7 @@
 // holders of one lease.
 func TestRestoreKeepsStandingLeases(t *testing.T) {
 	for name, before := range map[string][]Command{
-		"free in the backup":             {acquire("r", "first", 1000), {Release: &RecordOp{Name: "r", Token: 2}}},
+		"free in the backup":             {acquire("r", "first", 1000), {Release: &RecordOp{Name: "r", Token: firstToken}}},
 		"held by another in the backup":  {acquire("r", "first", 1000)},
 		"not in the backup":              {},
 		"held by the same in the backup": {acquire("r", "holder", 1000)},
@@ -53,10 +51,7 @@
 			if r, held := s.Record("r"); held && r.Holder != "" {
 				s.Apply(Command{Release: &RecordOp{Name: "r", Token: r.Token}})
 			}
-			granted := s.Apply(acquire("r", "holder", 20_000))
-			if granted.Err != nil {
-				t.Fatal(granted.Err)
-			}
+			granted := apply(t, s, acquire("r", "holder", 20_000))
 			s = restored(t, s, backup)
 			if r := s.Apply(acquire("r", "rival", 1000)); !errors.Is(r.Err, ErrNotHolder) {
 				t.Errorf("a rival gets the record: %+v", r)
@@ -64,9 +59,7 @@
 			if r := s.Apply(Command{Update: &RecordOp{Name: "r", Token: granted.Token, Value: []byte("v")}}); r.Err != nil {
 				t.Errorf("the holder has lost its record: %v", r.Err)
 			}
-			if r := s.Apply(Command{Release: &RecordOp{Name: "r", Token: granted.Token}}); r.Err != nil {
-				t.Fatal(r.Err)
-			}
+			apply(t, s, Command{Release: &RecordOp{Name: "r", Token: granted.Token}})
 			if next := s.Apply(acquire("r", "rival", 1000)); next.Err != nil || next.Token <= granted.Token {
 				t.Errorf("the next holder's token is %d after %d, %v", next.Token, granted.Token, next.Err)
 			}
--- a/internal/lab/relay/relay_test.go
+++ b/internal/lab/relay/relay_test.go
@@ -171,27 +171,34 @@
 	sendAndExpectEcho(t, dial(t, l.Addr()), "after the cut")
 }
 
+// newServedLink starts a link, and a goroutine of serve for the server's side of each connection.
+func newServedLink(t *testing.T, serve func(c *Connection, server net.Conn)) *Link {
+	t.Helper()
+	l, err := Listen("127.0.0.1:0", 1, func(_ context.Context, c *Connection) (net.Conn, error) {
+		linkEnd, serverEnd := c.Pipe()
+		go serve(c, serverEnd)
+		return linkEnd, nil
+	}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(l.Close)
+	return l
+}
+
 // With the return direction cut, a call arrives and its answer does not.
 func TestReturnDirectionCut(t *testing.T) {
 	for name, w := range map[string]Conditions{"cut": {CutReturn: true}, "swallowed": {CutReturnShare: 1}} {
 		t.Run(name, func(t *testing.T) {
 			received := make(chan string, 10)
 			accepted := make(chan *Connection, 1)
-			l, err := Listen("127.0.0.1:0", 1, func(_ context.Context, p *Connection) (net.Conn, error) {
-				here, there := p.Pipe()
+			l := newServedLink(t, func(p *Connection, there net.Conn) {
 				accepted <- p
-				go func() {
-					line, _ := bufio.NewReader(there).ReadString('\n')
-					received <- line
-					io.WriteString(there, "answer\n")
-					p.OnDelivered(func(_ time.Time, reached bool) { received <- fmt.Sprint(reached) })
-				}()
-				return here, nil
-			}, nil)
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer l.Close()
+				line, _ := bufio.NewReader(there).ReadString('\n')
+				received <- line
+				io.WriteString(there, "answer\n")
+				p.OnDelivered(func(_ time.Time, reached bool) { received <- fmt.Sprint(reached) })
+			})
 			nc := dial(t, l.Addr())
 			pair := <-accepted // accepted, so that it is open when the path is cut
 			l.SetConditions(w)
@@ -351,23 +358,15 @@
 func TestDeliveryIsKnownAfterTheEnd(t *testing.T) {
 	outcome := make(chan bool, 1)
 	ended := make(chan struct{})
-	l, err := Listen("127.0.0.1:0", 1, func(_ context.Context, p *Connection) (net.Conn, error) {
-		here, there := p.Pipe()
-		go func() {
-			if _, err := bufio.NewReader(there).ReadString('\n'); err != nil {
-				return
-			}
-			io.WriteString(there, "answer\n")
-			<-p.closed
-			close(ended)
-			p.OnDelivered(func(_ time.Time, delivered bool) { outcome <- delivered })
-		}()
-		return here, nil
-	}, nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
+	l := newServedLink(t, func(p *Connection, there net.Conn) {
+		if _, err := bufio.NewReader(there).ReadString('\n'); err != nil {
+			return
+		}
+		io.WriteString(there, "answer\n")
+		<-p.closed
+		close(ended)
+		p.OnDelivered(func(_ time.Time, delivered bool) { outcome <- delivered })
+	})
 	nc := dial(t, l.Addr())
 	io.WriteString(nc, "call\n")
 	expectLine(t, nc, "answer")
@@ -409,29 +408,21 @@
 func TestCallTimes(t *testing.T) {
 	reached := make(chan time.Time, 1)
 	began := make(chan time.Time, 2)
-	l, err := Listen("127.0.0.1:0", 1, func(_ context.Context, p *Connection) (net.Conn, error) {
-		here, there := p.Pipe()
-		go func() {
-			r := bufio.NewReader(there)
-			for {
-				if _, err := r.ReadString('\n'); err != nil {
-					return
-				}
-				began <- p.RequestStartedAt()
-				io.WriteString(there, "answer\n")
-				p.OnDelivered(func(at time.Time, ok bool) {
-					if ok {
-						reached <- at
-					}
-				})
+	l := newServedLink(t, func(p *Connection, there net.Conn) {
+		r := bufio.NewReader(there)
+		for {
+			if _, err := r.ReadString('\n'); err != nil {
+				return
 			}
-		}()
-		return here, nil
-	}, nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
+			began <- p.RequestStartedAt()
+			io.WriteString(there, "answer\n")
+			p.OnDelivered(func(at time.Time, ok bool) {
+				if ok {
+					reached <- at
+				}
+			})
+		}
+	})
 	nc := dial(t, l.Addr())
 	var last time.Time
 	for range 2 {
