Review case 9: notices wait while the directory is down

A node that follows a directory posts its notices there and nowhere else. While the directory is down for 7 s, messages that were taken on and can't be delivered have no final answer in time, though the platform's own address answers at once all the time.

--- a/review/scenario/world.go
+++ b/review/scenario/world.go
@@ -55,6 +55,8 @@
 	rec  *record
 	list list
 	addr string
+
+	onNotice func(id string) // unless nil, it is called for each notice
 }
 
 func newPlatform(rec *record, members []member) *platform {
@@ -98,6 +100,9 @@
 			return
 		}
 		p.rec.printf("platform: notice for %s: %s", n.ID, n.State)
+		if p.onNotice != nil {
+			p.onNotice(n.ID)
+		}
 	}
 	w.WriteHeader(http.StatusNoContent)
 }
