--- a/review/scenario/http_peer.go
+++ b/review/scenario/http_peer.go
@@ -25,7 +25,7 @@
 		got = append(got, c.ids...)
 		mu.Unlock()
 		time.Sleep(120 * time.Millisecond)
-		if c.ids[0] != handedIn { // as the protocol has it for a message that no client handed in
+		if len(c.ids) != 1 || c.ids[0] != handedIn { // as the protocol has it for a message that no client handed in
 			return status(conn, "400 Bad Request")
 		}
 		return ok(c, conn)
--- a/review/scenario/world.go
+++ b/review/scenario/world.go
@@ -109,71 +109,38 @@
 
 // call is one call as an endpoint saw it.
 type call struct {
-	endpoint  string
-	ids, keys []string
-	firstByte time.Time
-	lastByte  time.Time
-	batch     bool
-	end       chan struct{}
+	ids   []string
+	batch bool
 }
 
-// endpoint is a partner's endpoint; answer decides on each call.
+// endpoint is a partner's endpoint.
 type endpoint struct {
 	name   string
 	addr   string
 	rec    *record
-	ln     net.Listener
 	answer func(c *call, conn net.Conn) bool // writes the answer; false ends the connection
-
-	mu    sync.Mutex
-	calls []*call
-	conns map[net.Conn]bool
 }
 
 func newEndpoint(rec *record, name string, answer func(c *call, conn net.Conn) bool) *endpoint {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	must(err)
-	e := &endpoint{name: name, addr: ln.Addr().String(), rec: rec, ln: ln, answer: answer, conns: map[net.Conn]bool{}}
+	e := &endpoint{name: name, addr: ln.Addr().String(), rec: rec, answer: answer}
 	go func() {
 		for {
 			conn, err := ln.Accept()
 			if err != nil {
 				return
 			}
-			e.mu.Lock()
-			e.conns[conn] = true
-			e.mu.Unlock()
 			go e.serve(conn)
 		}
 	}()
 	return e
 }
 
-// watched is a connection that notes when the first byte of a request has come.
-type watched struct {
-	net.Conn
-	first time.Time
-}
-
-func (w *watched) Read(p []byte) (int, error) {
-	n, err := w.Conn.Read(p)
-	if n > 0 && w.first.IsZero() {
-		w.first = time.Now()
-	}
-	return n, err
-}
-
+// serve answers the calls of a connection until it ends.
 func (e *endpoint) serve(conn net.Conn) {
-	defer func() {
-		e.mu.Lock()
-		delete(e.conns, conn)
-		e.mu.Unlock()
-		conn.Close()
-	}()
-	w := &watched{Conn: conn}
-	r := bufio.NewReader(w)
-	for {
-		w.first = time.Time{}
+	defer conn.Close()
+	for r := bufio.NewReader(conn); ; {
 		req, err := http.ReadRequest(r)
 		if err != nil {
 			return
@@ -182,42 +149,29 @@
 		if err != nil {
 			return
 		}
-		if req.Method != http.MethodPost {
-			io.WriteString(conn, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
+		c := &call{ids: []string{req.Header.Get("X-Trace-Id")}}
+		switch {
+		case req.Method != http.MethodPost:
+			status(conn, "404 Not Found")
 			continue
-		}
-		c := &call{endpoint: e.name, firstByte: w.first, lastByte: time.Now(), end: make(chan struct{})}
-		if strings.HasSuffix(req.URL.Path, ":batch") {
-			var items []struct{ ID, Key string }
-			if json.Unmarshal(body, &items) != nil {
-				io.WriteString(conn, "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n")
+		case strings.HasSuffix(req.URL.Path, ":batch"):
+			var items []struct{ ID string }
+			if json.Unmarshal(body, &items) != nil || len(items) == 0 {
+				status(conn, "400 Bad Request")
 				continue
 			}
-			c.batch = true
+			c.batch, c.ids = true, nil
 			for _, i := range items {
-				c.ids, c.keys = append(c.ids, i.ID), append(c.keys, i.Key)
+				c.ids = append(c.ids, i.ID)
 			}
-		} else {
-			c.ids, c.keys = []string{req.Header.Get("X-Trace-Id")}, []string{req.Header.Get("Idempotency-Key")}
 		}
-		e.mu.Lock()
-		e.calls = append(e.calls, c)
-		e.mu.Unlock()
 		e.rec.printf("endpoint %s: call with %s", e.name, strings.Join(c.ids, " "))
-		goOn := e.answer(c, conn)
-		close(c.end)
-		if !goOn {
+		if !e.answer(c, conn) {
 			return
 		}
 	}
 }
 
-func (e *endpoint) seen() []*call {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return append([]*call{}, e.calls...)
-}
-
 // ok answers a call with success.
 func ok(c *call, conn net.Conn) bool {
 	body := ""
@@ -234,12 +188,8 @@
 }
 
 // status answers a call with a status alone.
-func status(conn net.Conn, line string, headers ...string) bool {
-	head := "HTTP/1.1 " + line + "\r\nContent-Length: 0\r\n"
-	for _, h := range headers {
-		head += h + "\r\n"
-	}
-	_, err := io.WriteString(conn, head+"\r\n")
+func status(conn net.Conn, line string) bool {
+	_, err := io.WriteString(conn, "HTTP/1.1 "+line+"\r\nContent-Length: 0\r\n\r\n")
 	return err == nil
 }
 
